--- /dev/null
+++ b/src/main/java/fennelthread/Constants.java
@@ -0,0 +1,186 @@
+package fennelthread;
+
+/** Every constant of the service, with its unit and its reason. */
+public final class Constants {
+  /** Longest request body that is taken, bytes: the protocol's bound. */
+  public static final int MAX_BODY_BYTES = 64 * 1024;
+
+  /** How far two steady clocks may drift apart, as a share: the protocol's bound. */
+  public static final double CLOCK_DRIFT = 0.0005;
+
+  /** Taken off every lease beyond drift, ms: timers fire in steps of a few milliseconds. */
+  public static final long LEASE_MARGIN_MS = 60;
+
+  /** Added to a worker's lease before it counts as over, ms: steps of timers on both sides. */
+  public static final long EXPIRY_MARGIN_MS = 250;
+
+  /** The grant's length as a share of a worker's lease: a successor must answer before that ends. */
+  public static final double GRANT_SHARE_OF_LEASE = 0.4;
+
+  /** How many renewals fit into one grant: three may fail before the lease is lost. */
+  public static final int RENEWALS_PER_GRANT = 4;
+
+  /** Longest wait for the state service's answer, ms: occasionally it takes a few hundred. */
+  public static final long STATE_TIMEOUT_MS = 1_500;
+
+  /** Longest wait for a renewal, ms: short, since a fresh try may still save the lease. */
+  public static final long RENEW_TIMEOUT_MS = 900;
+
+  /** How long a watch is held open by the state service, ms: bounds what a lost answer costs. */
+  public static final long WATCH_HOLD_MS = 5_000;
+
+  /** Shortest time between two watch requests, ms: each counts against the request budget. */
+  public static final long WATCH_GAP_MS = 80;
+
+  /** Pause after a failed state request before it is tried again, ms. */
+  public static final long RETRY_MS = 400;
+
+  /** Random part added to every pause, as a share: keeps controllers from retrying in step. */
+  public static final double JITTER = 0.3;
+
+  /** How many state requests may wait for room in the budget: beyond that callers get 503. */
+  public static final int STATE_QUEUE = 400;
+
+  /** Part of the request budget that one controller may use: the leader needs most of it. */
+  public static final double STATE_RATE_SHARE = 0.4;
+
+  /** Most items asked for in one page of a list: the protocol's bound is 1,000. */
+  public static final int PAGE = 500;
+
+  /** Most bytes a value may take beside its payload: key names and JSON punctuation. */
+  public static final int VALUE_SLACK_BYTES = 256;
+
+  /** How many tasks share one key of finished tasks: bounds the value at about 2 KB of ranges. */
+  public static final int TASKS_PER_CHUNK = 256;
+
+  /** Bytes one start takes in a round record, at the most: task, attempt and machine. */
+  public static final int RECORD_BYTES_PER_START = 90;
+
+  /** Most starts in one round: keeps a round's work short on a slow processor. */
+  public static final int STARTS_PER_ROUND = 60;
+
+  /** Shortest time between two rounds, ms: bounds writes; events in between share a round. */
+  public static final long ROUND_GAP_MS = 60;
+
+  /** Longest time between two rounds of a leader, ms: catches what no event announced. */
+  public static final long ROUND_IDLE_MS = 1_000;
+
+  /** Longest wait for a worker's answer to direct commands, ms. */
+  public static final long COMMAND_TIMEOUT_MS = 2_500;
+
+  /** Pause between attempts to reach a worker that has not confirmed its token, ms. */
+  public static final long PROBE_MS = 1_000;
+
+  /** A worker that missed this many reports gets no new tasks until it is heard again. */
+  public static final double SILENT_REPORTS = 2.5;
+
+  /** How often controllers greet one another, ms. */
+  public static final long HAIL_MS = 700;
+
+  /** Longest wait for a greeting's answer, ms. */
+  public static final long HAIL_TIMEOUT_MS = 1_200;
+
+  /** A sibling not heard for this long counts as silent, ms. */
+  public static final long SIBLING_SILENT_MS = 3_000;
+
+  /** A leader refused by the state service for this long yields if a sibling is served, ms. */
+  public static final long REFUSED_ALONE_MS = 2_500;
+
+  /** A leader that has heard no worker for this many report intervals yields if siblings do. */
+  public static final double UNHEARD_REPORTS = 3;
+
+  /** How long a controller that yielded leaves the claim to others, ms. */
+  public static final long YIELD_PAUSE_MS = 8_000;
+
+  /** Longest random wait before a claim, ms: followers rarely claim at the same instant. */
+  public static final long CLAIM_SPREAD_MS = 60;
+
+  /** Longest wait for the cloud's answer, ms. */
+  public static final long CLOUD_TIMEOUT_MS = 5_000;
+
+  /** How often the machine list is read, ms: far below the cloud's request limit. */
+  public static final long LIST_EVERY_MS = 4_000;
+
+  /** How often types and prices are read, ms. */
+  public static final long FLAVORS_EVERY_MS = 30_000;
+
+  /** How often the leader decides about renting, ms. */
+  public static final long RENT_EVERY_MS = 1_500;
+
+  /** First pause after a refusal for capacity, per type, zone and kind, ms. */
+  public static final long REFUSED_FIRST_MS = 5_000;
+
+  /** Longest pause after refusals for capacity, ms. */
+  public static final long REFUSED_MOST_MS = 40_000;
+
+  /** Most machines in one rental request: the protocol's bound. */
+  public static final int MAX_PER_RENTAL = 50;
+
+  /** Most names in one return request: the protocol's bound. */
+  public static final int MAX_PER_RETURN = 100;
+
+  /** A machine not up after this many times its nominal boot time is returned. */
+  public static final double BOOT_PATIENCE = 5;
+
+  /** Added to that patience, ms. */
+  public static final long BOOT_PATIENCE_MS = 20_000;
+
+  /** A machine silent this long beyond its lease is returned, ms. */
+  public static final long LOST_PATIENCE_MS = 1_000;
+
+  /** How many different jobs must fail on a machine within the window before it is drained. */
+  public static final int BAD_MACHINE_JOBS = 2;
+
+  /** How many tasks of one job must fail on a machine that fails nothing else, to drain it. */
+  public static final int BAD_MACHINE_TASKS = 4;
+
+  /** How long failures on a machine are remembered, ms. */
+  public static final long FAILURE_WINDOW_MS = 120_000;
+
+  /** On how many machines a job must fail before it waits longer between tries. */
+  public static final int BAD_JOB_MACHINES = 3;
+
+  /** First pause before a task that failed or was refused is tried again, ms. */
+  public static final long TASK_PAUSE_MS = 300;
+
+  /** Longest such pause, ms. */
+  public static final long TASK_PAUSE_MOST_MS = 60_000;
+
+  /** How long demand is remembered when deciding what to rent, ms. */
+  public static final long DEMAND_WINDOW_MS = 180_000;
+
+  /** Kept final answers in memory, entries; older ones are read from the state service. */
+  public static final int FINAL_CACHE = 20_000;
+
+  /** How often the leader removes records that nobody needs any more, ms. */
+  public static final long SWEEP_MS = 2_500;
+
+  /** Longest wait of a user's request inside the service, ms: users give up after 5 s. */
+  public static final long USER_TIMEOUT_MS = 4_000;
+
+  /** Longest wait of a poll inside the service, ms: users give up after 2 s. */
+  public static final long POLL_TIMEOUT_MS = 1_700;
+
+  /** What users are told to wait after a refusal, seconds: the shortest the protocol knows. */
+  public static final int RETRY_AFTER_S = 1;
+
+  /** Idle connections kept per address. */
+  public static final int IDLE_PER_ADDRESS = 4;
+
+  /** How long an idle connection of ours is kept, ms: peers may drop theirs without a word. */
+  public static final long IDLE_MS = 20_000;
+
+  /** Connection attempts to one address at a time: a dead peer hangs instead of refusing. */
+  public static final int CONNECTING_PER_ADDRESS = 4;
+
+  /** Largest answer that is read, bytes: watches have no limit, so this only guards memory. */
+  public static final int MAX_ANSWER_BYTES = 8 * 1024 * 1024;
+
+  /** Bits of a token below the epoch: the leader may raise a worker's token a million times. */
+  public static final int TOKEN_BITS = 20;
+
+  /** Bits of an attempt number below the epoch. */
+  public static final int ATTEMPT_BITS = 24;
+
+  private Constants() {}
+}
--- /dev/null
+++ b/src/main/java/fennelthread/api/Api.java
@@ -0,0 +1,270 @@
+package fennelthread.api;
+
+import fennelthread.Constants;
+import fennelthread.jobs.Job;
+import fennelthread.jobs.JobStore;
+import fennelthread.jobs.JobTable;
+import fennelthread.jobs.Lookup;
+import fennelthread.net.Answer;
+import fennelthread.net.Host;
+import fennelthread.net.Request;
+import fennelthread.net.Service;
+import fennelthread.settings.Settings;
+import fennelthread.wire.Beat;
+import fennelthread.wire.Codec;
+import fennelthread.wire.Fields;
+import fennelthread.wire.Flavor;
+import fennelthread.wire.JobSpec;
+import fennelthread.wire.JobState;
+import fennelthread.wire.WireException;
+import java.util.Map;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import java.util.function.Supplier;
+
+/** What users, workers and the load balancer ask of a controller. */
+public final class Api implements Service {
+  private static final String JOBS = "/v1/jobs";
+  private static final String WITHDRAW = "/withdraw";
+
+  private final Host host;
+  private final Settings settings;
+  private final JobStore store;
+  private final JobTable table;
+  private final Supplier<Map<String, Flavor>> flavors;
+  private final BooleanSupplier up;
+  private final Function<Beat, Answer> beats;
+
+  /** Creates the interface; {@code beats} answers reports. */
+  public Api(
+      Host host,
+      Settings settings,
+      JobStore store,
+      JobTable table,
+      Supplier<Map<String, Flavor>> flavors,
+      BooleanSupplier up,
+      Function<Beat, Answer> beats) {
+    this.host = host;
+    this.settings = settings;
+    this.store = store;
+    this.table = table;
+    this.flavors = flavors;
+    this.up = up;
+    this.beats = beats;
+  }
+
+  @Override
+  public void handle(Request request, Consumer<Answer> reply) {
+    String path = request.path();
+    String method = request.method();
+    if (path.equals("/agent/beat")) {
+      if (allowed(method, "POST", reply)) {
+        beat(request, reply);
+      }
+    } else if (path.equals(JOBS)) {
+      if (allowed(method, "POST", reply)) {
+        submit(request, bounded(reply, Constants.USER_TIMEOUT_MS));
+      }
+    } else if (path.startsWith(JOBS + "/") && path.endsWith(WITHDRAW)) {
+      if (allowed(method, "POST", reply)) {
+        String id =
+            path.substring(JOBS.length() + 1, Math.max(JOBS.length() + 1, path.length() - WITHDRAW.length()));
+        withdraw(id, bounded(reply, Constants.USER_TIMEOUT_MS));
+      }
+    } else if (path.startsWith(JOBS + "/")) {
+      if (allowed(method, "GET", reply)) {
+        poll(path.substring(JOBS.length() + 1), bounded(reply, Constants.POLL_TIMEOUT_MS));
+      }
+    } else if (path.equals("/up")) {
+      if (allowed(method, "GET", reply)) {
+        reply.accept(
+            up.getAsBoolean()
+                ? Answer.of(200, Codec.CBOR, Fields.create().with("up", true))
+                : later("can't serve now"));
+      }
+    } else {
+      reply.accept(Answer.error(404, "unknown path"));
+    }
+  }
+
+  private static boolean allowed(String method, String wanted, Consumer<Answer> reply) {
+    if (method.equals(wanted)) {
+      return true;
+    }
+    reply.accept(Answer.error(405, "use " + wanted));
+    return false;
+  }
+
+  /** Answers 503 by itself when the service takes longer than the user would wait. */
+  private Consumer<Answer> bounded(Consumer<Answer> reply, long timeoutMs) {
+    boolean[] answered = new boolean[1];
+    Host.Cancellable timer =
+        host.after(
+            timeoutMs,
+            () -> {
+              if (!answered[0]) {
+                answered[0] = true;
+                reply.accept(later("took too long"));
+              }
+            });
+    return answer -> {
+      if (!answered[0]) {
+        answered[0] = true;
+        timer.cancel();
+        reply.accept(answer);
+      }
+    };
+  }
+
+  private static Answer later(String why) {
+    return Answer.later(503, why, Constants.RETRY_AFTER_S);
+  }
+
+  private void beat(Request request, Consumer<Answer> reply) {
+    Beat beat;
+    try {
+      beat = Beat.read(Codec.CBOR.decode(request.body()));
+    } catch (WireException e) {
+      reply.accept(Answer.error(400, e.getMessage()));
+      return;
+    }
+    reply.accept(beats.apply(beat));
+  }
+
+  private void submit(Request request, Consumer<Answer> reply) {
+    Fields body;
+    String id;
+    try {
+      body = Codec.CBOR.decode(request.body());
+      id = JobSpec.readId(body);
+    } catch (WireException e) {
+      reply.accept(Answer.error(400, e.getMessage()));
+      return;
+    }
+    Answer refusal = null;
+    JobSpec spec = null;
+    try {
+      spec = JobSpec.read(body);
+      refusal = store.fits(spec) ? impossible(spec) : Answer.error(400, "body: is too large");
+    } catch (WireException e) {
+      refusal = Answer.error(400, e.getMessage());
+    }
+    if (refusal == null) {
+      accept(spec, reply);
+      return;
+    }
+    // An accepted job gets 200 again whatever else the repeated body holds.
+    Answer otherwise = refusal;
+    store.lookup(
+        id,
+        found -> {
+          if (found instanceof Lookup.Unknown) {
+            reply.accept(otherwise);
+          } else {
+            reply.accept(known(id, found));
+          }
+        });
+  }
+
+  private void accept(JobSpec spec, Consumer<Answer> reply) {
+    store.accept(
+        spec,
+        outcome -> {
+          switch (outcome) {
+            case NEW ->
+                reply.accept(
+                    Answer.of(
+                        201,
+                        Codec.CBOR,
+                        Fields.create()
+                            .with("name_id", spec.id())
+                            .with("estado", JobState.PENDING.wire())));
+            case KNOWN -> store.lookup(spec.id(), found -> reply.accept(known(spec.id(), found)));
+            case UNAVAILABLE -> reply.accept(later("the state service can't be reached"));
+            default -> throw new IllegalStateException();
+          }
+        });
+  }
+
+  /** The answer to a job that can never run or can't be judged yet; null if it can run. */
+  private Answer impossible(JobSpec spec) {
+    Settings.Team team = settings.teams().get(spec.team());
+    if (team == null) {
+      return Answer.error(422, "dueno: is not a team here");
+    }
+    int together = spec.service() ? spec.tasks() : 1;
+    if ((team.cpusMax() > 0 && spec.cpus() * together > team.cpusMax())
+        || (team.cardsMax() > 0 && spec.cards() * together > team.cardsMax())) {
+      return Answer.error(422, "dueno: the job needs more than the team's limit");
+    }
+    Map<String, Flavor> types = flavors.get();
+    if (types.isEmpty()) {
+      return later("machine types are not known yet");
+    }
+    for (Flavor f : types.values()) {
+      if ((spec.types() == null || spec.types().contains(f.name()))
+          && (spec.zone() == null || f.zones().isEmpty() || f.zones().contains(spec.zone()))
+          && spec.cpus() <= f.cpus()
+          && spec.cards() <= f.cards()
+          && spec.memGb() <= f.memGb()) {
+        return null;
+      }
+    }
+    return Answer.error(422, "modelos: a task fits no allowed machine type");
+  }
+
+  private void poll(String id, Consumer<Answer> reply) {
+    if (!JobSpec.isId(id)) {
+      reply.accept(Answer.error(404, "unknown job"));
+      return;
+    }
+    store.lookup(id, found -> reply.accept(known(id, found)));
+  }
+
+  private void withdraw(String id, Consumer<Answer> reply) {
+    if (!JobSpec.isId(id)) {
+      reply.accept(Answer.error(404, "unknown job"));
+      return;
+    }
+    store.withdraw(
+        id,
+        found -> {
+          if (found instanceof Lookup.Live) {
+            reply.accept(later("try again"));
+          } else {
+            reply.accept(known(id, found));
+          }
+        });
+  }
+
+  private Answer known(String id, Lookup found) {
+    if (found instanceof Lookup.Live live) {
+      Job job = live.job();
+      int started = table.startedTasks(job);
+      JobState state = started > 0 ? JobState.RUNNING : JobState.PENDING;
+      return Answer.of(
+          200,
+          Codec.CBOR,
+          Fields.create()
+              .with("name_id", id)
+              .with("estado", state.wire())
+              .with("done", (long) job.finished().cardinality())
+              .with("running", (long) started));
+    }
+    if (found instanceof Lookup.Final end) {
+      return Answer.of(
+          200,
+          Codec.CBOR,
+          Fields.create()
+              .with("name_id", id)
+              .with("estado", end.state().wire())
+              .with("done", (long) end.done())
+              .with("running", 0L));
+    }
+    if (found instanceof Lookup.Unknown) {
+      return Answer.error(404, "unknown job");
+    }
+    return later("the state service can't be reached");
+  }
+}
--- /dev/null
+++ b/src/main/java/fennelthread/cli/Check.java
@@ -0,0 +1,30 @@
+package fennelthread.cli;
+
+import fennelthread.settings.Settings;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
+
+/** Validates settings without starting anything. */
+@Command(
+    name = "check",
+    mixinStandardHelpOptions = true,
+    versionProvider = Version.class,
+    description = "Checks both settings files and ends; exit code 2 if one can't be used.")
+final class Check implements Callable<Integer> {
+  @Mixin private SettingsFiles files;
+
+  @Override
+  public Integer call() throws Exception {
+    Settings settings = files.loadSettings();
+    files.loadOptions();
+    System.out.printf(
+        "%s: %s of %d controllers, %d teams, %d objectives: ok%n",
+        files.config,
+        settings.member(),
+        settings.siblings().size() + 1,
+        settings.teams().size(),
+        settings.objectives().size());
+    return 0;
+  }
+}
--- /dev/null
+++ b/src/main/java/fennelthread/cli/Client.java
@@ -0,0 +1,54 @@
+package fennelthread.cli;
+
+import fennelthread.wire.Codec;
+import fennelthread.wire.Fields;
+import fennelthread.wire.WireException;
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import picocli.CommandLine.Option;
+
+/** What the client commands share: one request to a controller, its answer printed as JSON. */
+final class Client {
+  @Option(
+      names = "--to",
+      paramLabel = "HOST:PORT",
+      required = true,
+      description = "A controller's address for users.")
+  String address;
+
+  /** Sends a request; exit code 0 for an answer of 200 or 201, 1 otherwise. */
+  int send(String method, String path, byte[] body) throws IOException, InterruptedException {
+    HttpRequest request =
+        HttpRequest.newBuilder(URI.create("http://" + address + path))
+            .timeout(Duration.ofSeconds(5))
+            .header("Content-Type", Codec.CBOR.contentType())
+            .method(
+                method,
+                body == null
+                    ? HttpRequest.BodyPublishers.noBody()
+                    : HttpRequest.BodyPublishers.ofByteArray(body))
+            .build();
+    HttpResponse<byte[]> response;
+    try {
+      response = HttpClient.newHttpClient().send(request, HttpResponse.BodyHandlers.ofByteArray());
+    } catch (IOException e) {
+      System.err.println("no answer from " + address + ": " + e.getMessage());
+      return 1;
+    }
+    String text;
+    try {
+      Fields fields = Codec.CBOR.decode(response.body());
+      text = new String(Codec.JSON.encode(fields), StandardCharsets.UTF_8);
+    } catch (WireException e) {
+      text = "(an answer that can't be read)";
+    }
+    boolean good = response.statusCode() == 200 || response.statusCode() == 201;
+    (good ? System.out : System.err).println(response.statusCode() + " " + text);
+    return good ? 0 : 1;
+  }
+}
--- /dev/null
+++ b/src/main/java/fennelthread/cli/Serve.java
@@ -0,0 +1,57 @@
+package fennelthread.cli;
+
+import fennelthread.Controller;
+import fennelthread.net.XnioHost;
+import fennelthread.settings.Options;
+import fennelthread.settings.Settings;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
+
+/** The program itself, and its default command: runs a controller. */
+@Command(
+    name = "fennelthread",
+    mixinStandardHelpOptions = true,
+    versionProvider = Version.class,
+    description = "Runs a controller of the cluster scheduler until it is killed.",
+    subcommands = {Serve.ServeCommand.class, Check.class, Submit.class, Status.class, Withdraw.class})
+final class Serve implements Callable<Integer> {
+  /** Not an exit code: the program goes on. */
+  static final int KEEP_RUNNING = -1;
+
+  @Mixin private SettingsFiles files;
+
+  @Override
+  public Integer call() throws Exception {
+    return serve(files);
+  }
+
+  static int serve(SettingsFiles files) throws Exception {
+    Settings settings = files.loadSettings();
+    Options options = files.loadOptions();
+    XnioHost host = new XnioHost();
+    host.run(
+        () -> {
+          Controller controller = new Controller(host, settings, options);
+          host.listen(
+              settings.apiAddr(), controller.api(), settings.meshAddr(), controller.mesh());
+          controller.start();
+        });
+    return KEEP_RUNNING;
+  }
+
+  /** The same under its own name. */
+  @Command(
+      name = "serve",
+      mixinStandardHelpOptions = true,
+      versionProvider = Version.class,
+      description = "Runs a controller until it is killed (the default command).")
+  static final class ServeCommand implements Callable<Integer> {
+    @Mixin private SettingsFiles files;
+
+    @Override
+    public Integer call() throws Exception {
+      return serve(files);
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/fennelthread/cli/Withdraw.java
@@ -0,0 +1,24 @@
+package fennelthread.cli;
+
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
+import picocli.CommandLine.Parameters;
+
+/** Withdraws a job. */
+@Command(
+    name = "withdraw",
+    mixinStandardHelpOptions = true,
+    versionProvider = Version.class,
+    description = "Withdraws a job: its tasks are stopped and none is started any more.")
+final class Withdraw implements Callable<Integer> {
+  @Mixin private Client client;
+
+  @Parameters(paramLabel = "ID", description = "The job's id, such as job-000412.")
+  private String id;
+
+  @Override
+  public Integer call() throws Exception {
+    return client.send("POST", "/v1/jobs/" + id + "/withdraw", new byte[0]);
+  }
+}
--- /dev/null
+++ b/src/main/java/fennelthread/fleet/Attempt.java
@@ -0,0 +1,152 @@
+package fennelthread.fleet;
+
+import fennelthread.jobs.RoundRecord;
+import fennelthread.wire.Beat;
+import fennelthread.wire.TaskRef;
+
+/** One attempt at a task on one machine, from its round record until it is proven gone. */
+public final class Attempt {
+
+  /** Where an attempt stands. All but ENDED and GONE may be running on the machine. */
+  public enum Phase {
+    /** Its round record is being written; no start was sent. */
+    RECORDED,
+    /** The start was sent and its answer is awaited. */
+    SENT,
+    /** A start may have been sent, or may still arrive: only a report under a later token tells. */
+    UNSURE,
+    /** On the machine, waiting for its image. */
+    FETCHING,
+    /** On the machine, running. */
+    RUNNING,
+    /** On the machine, saving. */
+    FLUSHING,
+    /** Over; the worker still reports it. */
+    ENDED,
+    /** Proven not to be on the machine. */
+    GONE
+  }
+
+  private final RoundRecord.Start start;
+  private final long createdAtMs;
+  private Phase phase;
+  private Beat.Motive motive;
+  private long token;
+  private long runningSinceMs = -1;
+  private boolean stopSent;
+  private boolean handled;
+
+  Attempt(RoundRecord.Start start, Phase phase, long token, long nowMs) {
+    this.start = start;
+    this.phase = phase;
+    this.token = token;
+    this.createdAtMs = nowMs;
+  }
+
+  /** The only place where the phase changes. */
+  void moveTo(Phase next) {
+    boolean allowed =
+        switch (phase) {
+          case RECORDED -> next == Phase.SENT || next == Phase.GONE;
+          case GONE -> false;
+          case ENDED -> next == Phase.ENDED || next == Phase.GONE;
+          default -> next != Phase.RECORDED && (next != Phase.SENT);
+        };
+    if (!allowed) {
+      throw new IllegalStateException(this + " -> " + next);
+    }
+    phase = next;
+  }
+
+  void sent(long underToken) {
+    moveTo(Phase.SENT);
+    token = underToken;
+  }
+
+  void reported(Beat.Task task, long nowMs) {
+    switch (task.phase()) {
+      case FETCHING -> moveTo(Phase.FETCHING);
+      case RUNNING -> {
+        if (runningSinceMs < 0) {
+          runningSinceMs = nowMs;
+        }
+        moveTo(Phase.RUNNING);
+      }
+      case FLUSHING -> moveTo(Phase.FLUSHING);
+      case ENDED -> {
+        moveTo(Phase.ENDED);
+        motive = task.motive();
+      }
+      default -> throw new IllegalStateException();
+    }
+  }
+
+  /** The key under which a machine keeps it. */
+  static String key(TaskRef task, long attempt) {
+    return task + "#" + attempt;
+  }
+
+  String key() {
+    return key(start.task(), start.attempt());
+  }
+
+  /** What was recorded of it. */
+  public RoundRecord.Start start() {
+    return start;
+  }
+
+  /** Where it stands. */
+  public Phase phase() {
+    return phase;
+  }
+
+  /** Why it ended, or null. */
+  public Beat.Motive motive() {
+    return motive;
+  }
+
+  /** True unless it is proven not to be on the machine. */
+  public boolean mayBePresent() {
+    return phase != Phase.ENDED && phase != Phase.GONE;
+  }
+
+  /** The token under which the start was sent. */
+  long token() {
+    return token;
+  }
+
+  /** When it was first seen running, or -1. */
+  public long runningSinceMs() {
+    return runningSinceMs;
+  }
+
+  /** When it was created here. */
+  public long createdAtMs() {
+    return createdAtMs;
+  }
+
+  /** True once a stop was asked for. */
+  public boolean isStopping() {
+    return stopSent;
+  }
+
+  /** Notes that a stop was asked for. */
+  public void stopping() {
+    stopSent = true;
+  }
+
+  /** True once its end was taken note of. */
+  public boolean isHandled() {
+    return handled;
+  }
+
+  /** Notes that its end was taken note of. */
+  public void handled() {
+    handled = true;
+  }
+
+  @Override
+  public String toString() {
+    return key() + "@" + start.machine() + "/" + start.session() + " " + phase;
+  }
+}
--- /dev/null
+++ b/src/main/java/fennelthread/fleet/Cloud.java
@@ -0,0 +1,150 @@
+package fennelthread.fleet;
+
+import fennelthread.Constants;
+import fennelthread.net.Answer;
+import fennelthread.net.Call;
+import fennelthread.net.Host;
+import fennelthread.settings.Settings;
+import fennelthread.wire.Codec;
+import fennelthread.wire.Fields;
+import fennelthread.wire.Flavor;
+import fennelthread.wire.HostEntry;
+import fennelthread.wire.WireException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Speaks to the cloud. A null answer stands for no usable answer. */
+public final class Cloud {
+  private static final Logger log = LoggerFactory.getLogger(Cloud.class);
+
+  /** What became of a rental. */
+  public sealed interface Rented {
+    /** Rented: these machines. */
+    record Machines(List<String> names) implements Rented {}
+
+    /** Nothing to be had of this type, zone and kind. */
+    record NoCapacity() implements Rented {}
+
+    /** Nothing is known; the same request can be sent again. */
+    record Unknown() implements Rented {}
+  }
+
+  private final Host host;
+  private final String address;
+  private long quietUntil;
+
+  /** Creates a client. */
+  public Cloud(Host host, Settings settings) {
+    this.host = host;
+    this.address = settings.cloudAddr();
+  }
+
+  /** True while the cloud has asked us to slow down or is in trouble. */
+  public boolean isQuiet() {
+    return host.nowMs() < quietUntil;
+  }
+
+  /** Reads types and prices. */
+  public void flavors(Consumer<List<Flavor>> done) {
+    call(
+        Call.get("/flavors"),
+        answer -> {
+          try {
+            done.accept(ok(answer) ? Flavor.readAll(answer.fields()) : null);
+          } catch (WireException e) {
+            log.info("malformed types: {}", e.getMessage());
+            done.accept(null);
+          }
+        });
+  }
+
+  /** Reads the whole machine list. */
+  public void list(Consumer<List<HostEntry>> done) {
+    page(null, new ArrayList<>(), done);
+  }
+
+  private void page(String since, List<HostEntry> sofar, Consumer<List<HostEntry>> done) {
+    call(
+        Call.get("/hosts?" + (since == null ? "" : "since=" + since + "&") + "most=500"),
+        answer -> {
+          try {
+            if (!ok(answer)) {
+              done.accept(null);
+              return;
+            }
+            Fields body = answer.fields();
+            List<HostEntry> entries = HostEntry.readAll(body);
+            sofar.addAll(entries);
+            if (body.optFlag("more") && !entries.isEmpty()) {
+              page(entries.get(entries.size() - 1).name(), sofar, done);
+            } else {
+              done.accept(sofar);
+            }
+          } catch (WireException e) {
+            log.info("malformed machine list: {}", e.getMessage());
+            done.accept(null);
+          }
+        });
+  }
+
+  /** Rents machines under a name that is never used for anything else. */
+  public void rent(
+      String request, String type, String zone, boolean spot, int count, Consumer<Rented> done) {
+    Fields body =
+        Fields.create()
+            .with("pedido", request)
+            .with("modelo", type)
+            .with("zona", zone)
+            .with("prestadas", spot)
+            .with("how_many", (long) count);
+    call(
+        Call.post("/hosts", Codec.CBOR, body),
+        answer -> {
+          try {
+            if (ok(answer)) {
+              List<String> names = answer.fields().optTexts("equipos");
+              done.accept(new Rented.Machines(names == null ? List.of() : names));
+              return;
+            }
+            if (answer != null
+                && answer.status() == 503
+                && "no capacity".equals(answer.fields().optText("error"))) {
+              quietUntil = 0;
+              done.accept(new Rented.NoCapacity());
+              return;
+            }
+          } catch (WireException e) {
+            log.info("malformed rental answer: {}", e.getMessage());
+          }
+          done.accept(new Rented.Unknown());
+        });
+  }
+
+  /** Returns machines: true proves that they and everything on them are gone. */
+  public void giveBack(List<String> names, Consumer<Boolean> done) {
+    call(
+        Call.post(
+            "/hosts/return", Codec.CBOR, Fields.create().with("equipos", new ArrayList<>(names))),
+        answer -> done.accept(ok(answer)));
+  }
+
+  private static boolean ok(Answer answer) {
+    return answer != null && answer.status() == 200;
+  }
+
+  private void call(Call call, Consumer<Answer> done) {
+    host.call(
+        address,
+        call,
+        Constants.CLOUD_TIMEOUT_MS,
+        answer -> {
+          if (answer != null && (answer.status() == 429 || answer.status() == 503)) {
+            quietUntil = host.nowMs() + 1_000;
+          }
+          done.accept(answer);
+        });
+  }
+}
--- /dev/null
+++ b/src/main/java/fennelthread/fleet/Fleet.java
@@ -0,0 +1,422 @@
+package fennelthread.fleet;
+
+import fennelthread.Constants;
+import fennelthread.jobs.RoundRecord;
+import fennelthread.net.Answer;
+import fennelthread.net.Call;
+import fennelthread.net.Host;
+import fennelthread.settings.Settings;
+import fennelthread.wire.Beat;
+import fennelthread.wire.Codec;
+import fennelthread.wire.Flavor;
+import fennelthread.wire.Order;
+import fennelthread.wire.TaskRef;
+import fennelthread.wire.WireException;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * The machines of one leader's term and the evidence about what may be on them. A task counts as
+ * present until a newer report under our current token, a later session, the cloud's answer to a
+ * return, or a lease that nobody can have renewed, says otherwise.
+ */
+public final class Fleet {
+  private static final Logger log = LoggerFactory.getLogger(Fleet.class);
+
+  /** What the leader does with the fleet's news. */
+  public interface Listener {
+    /** An attempt is over or proven gone. */
+    void ended(Machine machine, Attempt attempt);
+
+    /** A worker has seen a token above ours: another controller leads. */
+    void higherToken(long epoch);
+
+    /** A report shows a task that we did not start. */
+    void adopted(Attempt attempt);
+
+    /** Something changed that a round may want to know. */
+    void changed();
+
+    /** What a reported task that we did not start is; its amounts are needed for caps. */
+    RoundRecord.Start describe(Machine machine, Beat.Task task);
+
+    /** Clears and stops that the machine's attempts call for now. */
+    List<Order> ordersFor(Machine machine);
+  }
+
+  private final Host host;
+  private final Settings settings;
+  private final long epoch;
+  private final Listener listener;
+  private final LongSupplier othersSilentSince;
+  private final Supplier<Map<String, Flavor>> flavors;
+  private final Map<String, Machine> machines = new LinkedHashMap<>();
+  private boolean closed;
+  private long attemptSeq;
+  private long lastBeatAt = -1;
+
+  /**
+   * Creates the fleet of one term.
+   *
+   * @param othersSilentSince the time since when no other controller can have answered a report, or
+   *     {@code Long.MAX_VALUE} while one still could
+   */
+  public Fleet(
+      Host host,
+      Settings settings,
+      long epoch,
+      Listener listener,
+      LongSupplier othersSilentSince,
+      Supplier<Map<String, Flavor>> flavors) {
+    this.host = host;
+    this.settings = settings;
+    this.epoch = epoch;
+    this.listener = listener;
+    this.othersSilentSince = othersSilentSince;
+    this.flavors = flavors;
+  }
+
+  /** Ends the term: late answers change nothing any more. */
+  public void close() {
+    closed = true;
+  }
+
+  /** All machines. */
+  public Collection<Machine> machines() {
+    return machines.values();
+  }
+
+  /** A machine, or null. */
+  public Machine get(String name) {
+    return machines.get(name);
+  }
+
+  /** A machine, known from now on. */
+  public Machine learn(String name, String address) {
+    Machine m = machines.computeIfAbsent(name, n -> new Machine(n, host.nowMs()));
+    m.setAddress(address);
+    return m;
+  }
+
+  /** Describes a machine that its worker may not have described yet. */
+  public void describe(Machine m, String type, String zone, boolean spot) {
+    if (!m.isDescribed()) {
+      m.describe(type, zone, spot);
+    }
+  }
+
+  /** When a worker last reported to us, or -1. */
+  public long lastBeatAt() {
+    return lastBeatAt;
+  }
+
+  /** Takes up a start from a predecessor's round record: it may be there. */
+  public void inherit(RoundRecord.Start start) {
+    Machine m = learn(start.machine(), null);
+    if (m.find(start.task(), start.attempt()) == null && m.session() <= start.session()) {
+      // Sent under a predecessor's token, whichever: only a report under ours tells.
+      m.add(
+          new Attempt(
+              start, Attempt.Phase.UNSURE, (epoch << Constants.TOKEN_BITS) - 1, host.nowMs()));
+    }
+  }
+
+  /** A new attempt, whose record is about to be written. */
+  public Attempt create(Machine m, fennelthread.wire.JobSpec spec, int index) {
+    long number = (epoch << Constants.ATTEMPT_BITS) + ++attemptSeq;
+    Attempt a =
+        new Attempt(
+            RoundRecord.Start.of(spec, index, number, m.name(), m.session()),
+            Attempt.Phase.RECORDED,
+            m.token(epoch),
+            host.nowMs());
+    m.add(a);
+    return a;
+  }
+
+  /** Drops an attempt whose start was never sent. */
+  public void abandon(Machine m, Attempt a) {
+    if (a.phase() == Attempt.Phase.RECORDED) {
+      a.moveTo(Attempt.Phase.GONE);
+      m.remove(a);
+    }
+  }
+
+  /** True if the machine can be given tasks: heard lately, and obeying nobody but us. */
+  public boolean isReady(Machine m) {
+    return m.phase() == Machine.Phase.REPORTING
+        && m.address() != null
+        && m.ackedToken() >= m.token(epoch)
+        && !m.isDraining()
+        && m.noticeUntilMs() < 0
+        && host.nowMs() - m.heardAtMs()
+            <= settings.workers().reportMs() * Constants.SILENT_REPORTS;
+  }
+
+  /** Answers a report. */
+  public Answer beat(Beat beat) {
+    long now = host.nowMs();
+    Machine m = learn(beat.machine(), beat.address());
+    long beatEpoch = beat.token() >> Constants.TOKEN_BITS;
+    if (beatEpoch > epoch) {
+      listener.higherToken(beatEpoch);
+      return null;
+    }
+    if (m.phase() == Machine.Phase.GONE || m.phase() == Machine.Phase.RETURNING) {
+      // Late packets of a machine that is gone, or about to be: not answered, so that its lease
+      // isn't lengthened.
+      return Answer.error(503, "machine is being returned");
+    }
+    m.describe(beat.type(), beat.zone(), beat.spot());
+    lastBeatAt = now;
+    take(m, beat);
+    m.answered(now);
+    List<Order> orders = m.ackedToken() >= 0 ? listener.ordersFor(m) : List.of();
+    return Answer.of(200, Codec.CBOR, Order.write(m.token(epoch), 0, orders));
+  }
+
+  /** Applies a report if it is the newest. */
+  private void take(Machine m, Beat beat) {
+    if (!m.isNewer(beat) || m.phase() == Machine.Phase.GONE) {
+      return;
+    }
+    boolean laterSession = beat.session() > m.session() && m.session() > 0;
+    if (m.phase() == Machine.Phase.UNHEARD || m.phase() == Machine.Phase.LOST) {
+      m.moveTo(Machine.Phase.REPORTING);
+      listener.changed();
+    }
+    long ackedBefore = m.ackedToken();
+    List<Attempt> ended = m.apply(beat, host.nowMs(), task -> listener.describe(m, task));
+    m.takeAdopted().forEach(listener::adopted);
+    for (Attempt a : ended) {
+      listener.ended(m, a);
+    }
+    if (!ended.isEmpty() || laterSession || ackedBefore < m.token(epoch)) {
+      listener.changed();
+    }
+    if (m.ackedToken() < m.token(epoch)) {
+      probe(m);
+    }
+  }
+
+  /**
+   * Sends starts, whose record is written. The caller has just checked the local lease. An answer
+   * that stays away means that the worker may act minutes later: the token is raised, and until a
+   * report under it arrives, the attempts count as present.
+   */
+  public void sendStarts(Machine m, List<Attempt> attempts) {
+    long token = m.token(epoch);
+    List<Order> orders = new ArrayList<>();
+    for (Attempt a : attempts) {
+      a.sent(token);
+      orders.add(new Order.Run(a.start().task(), a.start().attempt()));
+    }
+    long session = attempts.get(0).start().session();
+    host.call(
+        m.address(),
+        Call.post("/commands", Codec.CBOR, Order.write(token, session, orders)),
+        Constants.COMMAND_TIMEOUT_MS,
+        answer -> {
+          if (closed) {
+            return;
+          }
+          Beat report = reportOf(answer);
+          if (report != null && answer.status() == 409) {
+            // Nothing was executed, and this was the only time these attempts were sent.
+            for (Attempt a : attempts) {
+              if (a.phase() == Attempt.Phase.SENT) {
+                a.moveTo(Attempt.Phase.GONE);
+                m.remove(a);
+                listener.ended(m, a);
+              }
+            }
+          } else if (report != null) {
+            for (Attempt a : attempts) {
+              if (a.phase() == Attempt.Phase.SENT) {
+                // Executed: whether it is still there, this report or a newer one tells.
+                a.moveTo(Attempt.Phase.FETCHING);
+              }
+            }
+          } else {
+            log.info("{}: no answer to {} starts, raising the token", m.name(), attempts.size());
+            m.raiseToken();
+            for (Attempt a : attempts) {
+              if (a.phase() == Attempt.Phase.SENT) {
+                a.moveTo(Attempt.Phase.UNSURE);
+              }
+            }
+            probe(m);
+          }
+          if (report != null) {
+            heardDirectly(m, report);
+          }
+          listener.changed();
+        });
+  }
+
+  /** Sends the stops and clears that are due right away instead of with the next report's answer. */
+  public void sendOrders(Machine m) {
+    if (m.address() == null || m.session() == 0) {
+      return;
+    }
+    List<Order> orders = listener.ordersFor(m);
+    if (orders.isEmpty()) {
+      return;
+    }
+    host.call(
+        m.address(),
+        Call.post("/commands", Codec.CBOR, Order.write(m.token(epoch), m.session(), orders)),
+        Constants.COMMAND_TIMEOUT_MS,
+        answer -> {
+          Beat report = reportOf(answer);
+          if (!closed && report != null) {
+            heardDirectly(m, report);
+          }
+        });
+  }
+
+  /** Tells a worker our token, and learns from its answer what is on its machine. */
+  public void probe(Machine m) {
+    if (m.isProbing()
+        || m.address() == null
+        || m.phase() == Machine.Phase.GONE
+        || m.phase() == Machine.Phase.RETURNING) {
+      return;
+    }
+    m.setProbing(true);
+    host.call(
+        m.address(),
+        Call.post(
+            "/commands",
+            Codec.CBOR,
+            Order.write(m.token(epoch), Math.max(1, m.session()), List.of())),
+        Constants.COMMAND_TIMEOUT_MS,
+        answer -> {
+          m.setProbing(false);
+          Beat report = reportOf(answer);
+          if (!closed && report != null) {
+            heardDirectly(m, report);
+          }
+        });
+  }
+
+  private void heardDirectly(Machine m, Beat report) {
+    if (!report.machine().equals(m.name())) {
+      // The address belongs to another machine by now.
+      return;
+    }
+    long reportEpoch = report.token() >> Constants.TOKEN_BITS;
+    if (reportEpoch > epoch) {
+      listener.higherToken(reportEpoch);
+      return;
+    }
+    m.describe(report.type(), report.zone(), report.spot());
+    take(m, report);
+  }
+
+  private static Beat reportOf(Answer answer) {
+    if (answer == null || (answer.status() != 200 && answer.status() != 409)) {
+      return null;
+    }
+    try {
+      return Beat.read(answer.fields());
+    } catch (WireException e) {
+      log.info("malformed answer of a worker: {}", e.getMessage());
+      return null;
+    }
+  }
+
+  /** Looks for leases that are over and workers that have not confirmed their token. */
+  public void tick() {
+    long now = host.nowMs();
+    long silent = othersSilentSince.getAsLong();
+    for (Machine m : List.copyOf(machines.values())) {
+      if (m.phase() == Machine.Phase.GONE) {
+        continue;
+      }
+      if (silent != Long.MAX_VALUE) {
+        long base = Math.max(m.answeredAtMs(), silent);
+        long lease =
+            (long) (settings.workers().leaseMs() * (1 + 2 * Constants.CLOCK_DRIFT))
+                + Constants.EXPIRY_MARGIN_MS;
+        if (now - base > lease && m.phase() != Machine.Phase.LOST) {
+          expire(m);
+        }
+      }
+      boolean stale =
+          m.ackedToken() < m.token(epoch)
+              || now - m.heardAtMs() > settings.workers().reportMs() * Constants.SILENT_REPORTS;
+      if (stale) {
+        probe(m);
+      }
+    }
+  }
+
+  private void expire(Machine m) {
+    boolean heard = m.phase() == Machine.Phase.REPORTING;
+    if (heard) {
+      m.moveTo(Machine.Phase.LOST);
+      log.info("{}: lease is over", m.name());
+    }
+    m.forgetImages();
+    // A start sent within the lease can't be executed in the session that has ended.
+    List<Attempt> gone = m.dropAll();
+    for (Attempt a : gone) {
+      listener.ended(m, a);
+    }
+    if (!gone.isEmpty()) {
+      listener.changed();
+    }
+  }
+
+  /** The machine is about to be returned: it gets no answers and no tasks any more. */
+  public void returning(Machine m) {
+    m.drain();
+    m.moveTo(Machine.Phase.RETURNING);
+  }
+
+  /** The cloud has confirmed that the machine and everything on it are gone. */
+  public void returned(Machine m) {
+    if (m.phase() == Machine.Phase.GONE) {
+      return;
+    }
+    m.moveTo(Machine.Phase.GONE);
+    for (Attempt a : m.dropAll()) {
+      listener.ended(m, a);
+    }
+    listener.changed();
+  }
+
+  /** Notes that an image is on a machine. */
+  public void cached(Machine m, String image, double gb) {
+    m.cached(image, gb, flavors.get().get(m.type()));
+  }
+
+  /** The attempt of a task on a machine, or null. */
+  public Attempt find(String machine, TaskRef task, long attempt) {
+    Machine m = machines.get(machine);
+    return m == null ? null : m.find(task, attempt);
+  }
+
+  /** Notes a failed task; true if the machine should be drained. */
+  public boolean failed(Machine m, String job) {
+    return m.failed(job, host.nowMs());
+  }
+
+  /** Notes a task that completed. */
+  public void succeeded(Machine m) {
+    m.succeeded();
+  }
+
+  /** Gives a machine no more tasks. */
+  public void drain(Machine m) {
+    m.drain();
+  }
+}
--- /dev/null
+++ b/src/main/java/fennelthread/fleet/Machine.java
@@ -0,0 +1,351 @@
+package fennelthread.fleet;
+
+import fennelthread.Constants;
+import fennelthread.jobs.RoundRecord;
+import fennelthread.wire.Beat;
+import fennelthread.wire.Flavor;
+import fennelthread.wire.TaskRef;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Function;
+
+/** One machine as the leader knows it, with every attempt that may be on it. */
+public final class Machine {
+
+  /** Where a machine stands. */
+  public enum Phase {
+    /** Rented or recorded, but its worker was not heard by this leader. */
+    UNHEARD,
+    /** Its worker reports. */
+    REPORTING,
+    /** Its worker's lease is over and it has not reported since. */
+    LOST,
+    /** The cloud was asked to take it back. */
+    RETURNING,
+    /** The cloud has taken it back: nothing is on it any more, and its name is never used again. */
+    GONE
+  }
+
+  /** A failed task, remembered for a while. */
+  private record Failure(long atMs, String job) {}
+
+  private final String name;
+  private final long createdAtMs;
+  private Phase phase = Phase.UNHEARD;
+  private String address;
+  private String type;
+  private String zone;
+  private boolean spot;
+  private boolean typeKnown;
+  private long session;
+  private long seq;
+  private long tokenCounter;
+  private long ackedToken = -1;
+  private long heardAtMs = -1;
+  private long answeredAtMs;
+  private long noticeUntilMs = -1;
+  private boolean draining;
+  private boolean listedFailed;
+  private boolean probing;
+  private long idleSinceMs;
+  private final Map<String, Attempt> attempts = new LinkedHashMap<>();
+  private final LinkedHashMap<String, Double> images = new LinkedHashMap<>(16, 0.75f, true);
+  private final List<Attempt> adopted = new ArrayList<>();
+  private final List<Failure> failures = new ArrayList<>();
+
+  Machine(String name, long nowMs) {
+    this.name = name;
+    this.createdAtMs = nowMs;
+    this.answeredAtMs = nowMs;
+    this.idleSinceMs = nowMs;
+  }
+
+  /** The only place where the phase changes. */
+  void moveTo(Phase next) {
+    if (phase == Phase.GONE && next != Phase.GONE) {
+      throw new IllegalStateException(name + ": " + phase + " -> " + next);
+    }
+    phase = next;
+  }
+
+  void describe(String newType, String newZone, boolean newSpot) {
+    type = newType;
+    zone = newZone;
+    spot = newSpot;
+    typeKnown = true;
+  }
+
+  void setAddress(String newAddress) {
+    if (newAddress != null) {
+      address = newAddress;
+    }
+  }
+
+  /** The full token for this machine: the epoch above, the counter below. */
+  long token(long epoch) {
+    return (epoch << Constants.TOKEN_BITS) + tokenCounter;
+  }
+
+  void raiseToken() {
+    tokenCounter++;
+  }
+
+  /** Applies a report that is newer than all before; returns the attempts that it ends. */
+  List<Attempt> apply(Beat beat, long now, Function<Beat.Task, RoundRecord.Start> describe) {
+    List<Attempt> ended = new ArrayList<>();
+    if (beat.session() > session) {
+      // A later session: the worker has killed and forgotten everything of earlier ones.
+      for (Attempt a : List.copyOf(attempts.values())) {
+        if (a.start().session() < beat.session()) {
+          drop(a, ended);
+        }
+      }
+    }
+    session = beat.session();
+    seq = beat.seq();
+    ackedToken = beat.token();
+    heardAtMs = now;
+    noticeUntilMs = beat.noticeS() == Beat.NO_NOTICE ? -1 : now + (long) (beat.noticeS() * 1000);
+    Set<String> reported = new HashSet<>();
+    for (Beat.Task t : beat.tasks()) {
+      String key = Attempt.key(t.ref(), t.attempt());
+      reported.add(key);
+      Attempt a = attempts.get(key);
+      if (a == null) {
+        a = new Attempt(describe.apply(t), Attempt.Phase.UNSURE, 0, now);
+        attempts.put(key, a);
+        adopted.add(a);
+      }
+      if (a.phase() == Attempt.Phase.RECORDED) {
+        continue;
+      }
+      boolean wasEnded = a.phase() == Attempt.Phase.ENDED;
+      if (wasEnded && t.phase() != Beat.Phase.ENDED) {
+        continue;
+      }
+      a.reported(t, now);
+      if (a.phase() == Attempt.Phase.ENDED && !wasEnded) {
+        ended.add(a);
+      }
+    }
+    for (Attempt a : List.copyOf(attempts.values())) {
+      if (reported.contains(a.key())) {
+        continue;
+      }
+      boolean inFlight =
+          a.phase() == Attempt.Phase.RECORDED
+              || ((a.phase() == Attempt.Phase.SENT || a.phase() == Attempt.Phase.UNSURE)
+                  && beat.token() <= a.token());
+      if (!inFlight) {
+        drop(a, ended);
+      }
+    }
+    if (attempts.isEmpty()) {
+      if (idleSinceMs < 0) {
+        idleSinceMs = now;
+      }
+    } else {
+      idleSinceMs = -1;
+    }
+    return ended;
+  }
+
+  private void drop(Attempt a, List<Attempt> ended) {
+    boolean wasPresent = a.mayBePresent();
+    a.moveTo(Attempt.Phase.GONE);
+    attempts.remove(a.key());
+    if (wasPresent) {
+      ended.add(a);
+    }
+  }
+
+  /** Attempts that reports showed since the last call and that we did not start. */
+  List<Attempt> takeAdopted() {
+    if (adopted.isEmpty()) {
+      return List.of();
+    }
+    List<Attempt> taken = List.copyOf(adopted);
+    adopted.clear();
+    return taken;
+  }
+
+  /** Everything on it is proven gone; returns what was. */
+  List<Attempt> dropAll() {
+    List<Attempt> ended = new ArrayList<>();
+    for (Attempt a : List.copyOf(attempts.values())) {
+      drop(a, ended);
+    }
+    return ended;
+  }
+
+  void add(Attempt a) {
+    attempts.put(a.key(), a);
+    idleSinceMs = -1;
+  }
+
+  void remove(Attempt a) {
+    attempts.remove(a.key());
+  }
+
+  boolean isNewer(Beat beat) {
+    return beat.session() > session || (beat.session() == session && beat.seq() > seq);
+  }
+
+  /** The attempt that a report speaks of, or null. */
+  Attempt find(TaskRef task, long attempt) {
+    return attempts.get(Attempt.key(task, attempt));
+  }
+
+  void cached(String image, double gb, Flavor flavor) {
+    images.put(image, gb);
+    double total = 0;
+    for (double size : images.values()) {
+      total += size;
+    }
+    var oldest = images.entrySet().iterator();
+    while (flavor != null && total > flavor.cacheGb() && oldest.hasNext()) {
+      Map.Entry<String, Double> e = oldest.next();
+      if (!e.getKey().equals(image)) {
+        total -= e.getValue();
+        oldest.remove();
+      }
+    }
+  }
+
+  void forgetImages() {
+    images.clear();
+  }
+
+  /** Notes a failed task; true if the machine, not the job, must be at fault. */
+  boolean failed(String job, long now) {
+    failures.removeIf(f -> f.atMs < now - Constants.FAILURE_WINDOW_MS);
+    failures.add(new Failure(now, job));
+    long jobs = failures.stream().map(Failure::job).distinct().count();
+    return jobs >= Constants.BAD_MACHINE_JOBS || failures.size() >= Constants.BAD_MACHINE_TASKS;
+  }
+
+  void succeeded() {
+    failures.clear();
+  }
+
+  void answered(long now) {
+    answeredAtMs = now;
+  }
+
+  void drain() {
+    draining = true;
+  }
+
+  void setListedFailed() {
+    listedFailed = true;
+  }
+
+  void setProbing(boolean on) {
+    probing = on;
+  }
+
+  boolean isProbing() {
+    return probing;
+  }
+
+  boolean isListedFailed() {
+    return listedFailed;
+  }
+
+  /** Its name, never used twice by the cloud. */
+  public String name() {
+    return name;
+  }
+
+  /** Where it stands. */
+  public Phase phase() {
+    return phase;
+  }
+
+  /** Its worker's address, or null. */
+  public String address() {
+    return address;
+  }
+
+  /** Its type's name. */
+  public String type() {
+    return type;
+  }
+
+  /** Its zone. */
+  public String zone() {
+    return zone;
+  }
+
+  /** True if the cloud may take it back at any time. */
+  public boolean spot() {
+    return spot;
+  }
+
+  /** True once type, zone and kind are known. */
+  public boolean isDescribed() {
+    return typeKnown;
+  }
+
+  /** The session of the newest report. */
+  public long session() {
+    return session;
+  }
+
+  long ackedToken() {
+    return ackedToken;
+  }
+
+  /** When it was last heard, or -1. */
+  public long heardAtMs() {
+    return heardAtMs;
+  }
+
+  long answeredAtMs() {
+    return answeredAtMs;
+  }
+
+  /** When its notice runs out, or -1. */
+  public long noticeUntilMs() {
+    return noticeUntilMs;
+  }
+
+  /** True if it gets no new tasks. */
+  public boolean isDraining() {
+    return draining;
+  }
+
+  /** When it was first known to this leader. */
+  public long createdAtMs() {
+    return createdAtMs;
+  }
+
+  /** Since when nothing has been on it, or -1. */
+  public long idleSinceMs() {
+    return idleSinceMs;
+  }
+
+  /** All attempts on it, ended ones included until they are cleared. */
+  public Iterable<Attempt> attempts() {
+    return attempts.values();
+  }
+
+  /** True if no attempt may be on it. */
+  public boolean isEmpty() {
+    for (Attempt a : attempts.values()) {
+      if (a.mayBePresent()) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  /** Images that it has cached, as far as we know. */
+  public Set<String> images() {
+    return images.keySet();
+  }
+}
--- /dev/null
+++ b/src/main/java/fennelthread/fleet/Rentals.java
@@ -0,0 +1,361 @@
+package fennelthread.fleet;
+
+import fennelthread.Constants;
+import fennelthread.net.Host;
+import fennelthread.plan.Plan;
+import fennelthread.settings.Options;
+import fennelthread.settings.Settings;
+import fennelthread.wire.Flavor;
+import fennelthread.wire.HostEntry;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Rents and returns machines. The cloud's list is old: what was rented counts although it is not
+ * listed yet, and a machine that the list lacks is not taken for gone.
+ */
+public final class Rentals {
+  private static final Logger log = LoggerFactory.getLogger(Rentals.class);
+
+  private record Kind(String type, String zone, boolean spot) {}
+
+  private record Booting(Kind kind, long sinceMs) {}
+
+  private final Host host;
+  private final Settings settings;
+  private final Options options;
+  private final Cloud cloud;
+  private final Fleet fleet;
+  private final String prefix;
+  private final Consumer<List<Flavor>> onFlavors;
+  private final Map<String, Booting> booting = new LinkedHashMap<>();
+  private final Map<Kind, Long> refusedUntil = new HashMap<>();
+  private final Map<Kind, Long> refusedPause = new HashMap<>();
+  private final Set<String> returning = new HashSet<>();
+  private final List<double[]> demands = new ArrayList<>();
+  private Map<String, Flavor> flavors;
+  private boolean closed;
+  private boolean renting;
+  private boolean listing;
+  private boolean givingBack;
+  private boolean listedOnce;
+  private long requestSeq;
+
+  /** Creates the rentals of one term; {@code prefix} makes request names unique for ever. */
+  public Rentals(
+      Host host,
+      Settings settings,
+      Options options,
+      Cloud cloud,
+      Fleet fleet,
+      String prefix,
+      Map<String, Flavor> flavors,
+      Consumer<List<Flavor>> onFlavors) {
+    this.host = host;
+    this.settings = settings;
+    this.options = options;
+    this.cloud = cloud;
+    this.fleet = fleet;
+    this.prefix = prefix;
+    this.flavors = flavors;
+    this.onFlavors = onFlavors;
+  }
+
+  /** Begins to read lists and prices. */
+  public void start() {
+    list();
+    readFlavors();
+  }
+
+  /** Ends the term. */
+  public void close() {
+    closed = true;
+  }
+
+  private void readFlavors() {
+    if (closed) {
+      return;
+    }
+    cloud.flavors(
+        list -> {
+          if (closed) {
+            return;
+          }
+          if (list != null && !list.isEmpty()) {
+            Map<String, Flavor> map = new LinkedHashMap<>();
+            list.forEach(f -> map.put(f.name(), f));
+            flavors = map;
+            onFlavors.accept(list);
+          }
+          host.after(
+              list == null ? 2_000 : Constants.FLAVORS_EVERY_MS, this::readFlavors);
+        });
+  }
+
+  private void list() {
+    if (closed || listing) {
+      return;
+    }
+    listing = true;
+    cloud.list(
+        entries -> {
+          listing = false;
+          if (closed) {
+            return;
+          }
+          if (entries != null) {
+            listedOnce = true;
+            entries.forEach(this::listed);
+          }
+          host.after(Constants.LIST_EVERY_MS, this::list);
+        });
+  }
+
+  private void listed(HostEntry e) {
+    Machine known = fleet.get(e.name());
+    if (known != null && known.phase() == Machine.Phase.GONE) {
+      return;
+    }
+    Machine m = fleet.learn(e.name(), e.address());
+    fleet.describe(m, e.type(), e.zone(), e.spot());
+    if (e.state().equals(HostEntry.FAILED)) {
+      m.setListedFailed();
+    } else if (m.phase() == Machine.Phase.UNHEARD && !booting.containsKey(e.name())) {
+      // Rented by a predecessor, or by a request of ours that was executed late.
+      booting.put(
+          e.name(),
+          new Booting(
+              new Kind(e.type(), e.zone(), e.spot()), host.nowMs() - (long) (e.ageS() * 1000)));
+    }
+  }
+
+  /** Takes note of the demand of the moment, CPUs. */
+  public void demand(double cpus) {
+    long now = host.nowMs();
+    demands.removeIf(d -> d[0] < now - Constants.DEMAND_WINDOW_MS);
+    if (!demands.isEmpty() && now - demands.get(demands.size() - 1)[0] < 1_000) {
+      double[] last = demands.get(demands.size() - 1);
+      last[1] = Math.max(last[1], cpus);
+    } else {
+      demands.add(new double[] {now, cpus});
+    }
+  }
+
+  /** Rents what is short and returns what is broken or long idle. */
+  public void tick(List<Plan.Unplaced> unplaced) {
+    if (closed) {
+      return;
+    }
+    long now = host.nowMs();
+    for (Machine m : fleet.machines()) {
+      if (m.phase() != Machine.Phase.UNHEARD) {
+        booting.remove(m.name());
+      }
+    }
+    returnBroken(now);
+    if (!cloud.isQuiet() && listedOnce && !flavors.isEmpty()) {
+      rent(unplaced, now);
+    }
+  }
+
+  private void returnBroken(long now) {
+    for (Machine m : fleet.machines()) {
+      if (m.phase() == Machine.Phase.GONE || m.phase() == Machine.Phase.RETURNING) {
+        continue;
+      }
+      boolean silent = now - m.heardAtMs() > settings.workers().leaseMs() + Constants.LOST_PATIENCE_MS;
+      boolean lost = m.phase() == Machine.Phase.LOST && silent;
+      boolean failed = m.isListedFailed();
+      boolean noticeOver =
+          m.noticeUntilMs() >= 0
+              && now > m.noticeUntilMs()
+              && now - m.heardAtMs() > settings.workers().reportMs() * 2;
+      boolean drained = m.isDraining() && m.isEmpty();
+      boolean idle =
+          m.phase() == Machine.Phase.REPORTING
+              && m.idleSinceMs() >= 0
+              && now - m.idleSinceMs() > options.idleReturnMs();
+      if (lost || failed || noticeOver || drained || idle) {
+        giveBack(m, lost ? "lost" : failed ? "failed" : noticeOver ? "taken" : drained ? "drained" : "idle");
+      }
+    }
+    for (Map.Entry<String, Booting> e : List.copyOf(booting.entrySet())) {
+      Flavor f = flavors.get(e.getValue().kind.type);
+      double boot = f == null ? 60 : f.bootS();
+      if (now - e.getValue().sinceMs
+          > boot * 1000 * Constants.BOOT_PATIENCE + Constants.BOOT_PATIENCE_MS) {
+        booting.remove(e.getKey());
+        giveBack(fleet.learn(e.getKey(), null), "never came up");
+      }
+    }
+    sendReturns();
+  }
+
+  private void giveBack(Machine m, String why) {
+    log.info("returning {}: {}", m.name(), why);
+    fleet.returning(m);
+    returning.add(m.name());
+  }
+
+  private void sendReturns() {
+    if (givingBack || returning.isEmpty() || cloud.isQuiet()) {
+      return;
+    }
+    List<String> names = returning.stream().limit(Constants.MAX_PER_RETURN).toList();
+    givingBack = true;
+    cloud.giveBack(
+        names,
+        good -> {
+          givingBack = false;
+          if (closed || !good) {
+            return;
+          }
+          for (String name : names) {
+            returning.remove(name);
+            booting.remove(name);
+            fleet.returned(fleet.get(name));
+          }
+        });
+  }
+
+  private void rent(List<Plan.Unplaced> unplaced, long now) {
+    if (renting) {
+      return;
+    }
+    double have = 0;
+    int count = 0;
+    Map<String, Double> haveByType = new HashMap<>();
+    for (Machine m : fleet.machines()) {
+      boolean counts =
+          m.phase() == Machine.Phase.REPORTING && !m.isDraining() && m.noticeUntilMs() < 0;
+      if (m.phase() != Machine.Phase.GONE) {
+        count++;
+      }
+      Flavor f = flavors.get(m.type());
+      if (f != null && (counts || booting.containsKey(m.name()))) {
+        have += f.cpus();
+        haveByType.merge(f.name(), f.cpus(), Double::sum);
+      }
+    }
+    double peak = 0;
+    for (double[] d : demands) {
+      peak = Math.max(peak, d[1]);
+    }
+    double spare = settings.priceMatters() ? 1.0 : options.spare();
+    double missing = peak * spare - have;
+    double waiting = 0;
+    boolean spotHelps = false;
+    Set<String> wanted = new HashSet<>();
+    for (Plan.Unplaced u : unplaced) {
+      waiting += u.tasks() * Math.max(0.1, u.spec().cpus());
+      spotHelps |= u.spec().spotAllowed();
+      for (Flavor f : flavors.values()) {
+        if (fits(f, u)) {
+          wanted.add(f.name());
+        }
+      }
+    }
+    double bootingCpus = 0;
+    for (Booting b : booting.values()) {
+      Flavor f = flavors.get(b.kind.type);
+      bootingCpus += f == null ? 0 : f.cpus();
+    }
+    missing = Math.max(missing, waiting - bootingCpus);
+    if (missing <= 0 || count >= options.maxMachines()) {
+      return;
+    }
+    List<Kind> kinds = new ArrayList<>();
+    for (boolean spot : new boolean[] {false, true}) {
+      List<Flavor> order = new ArrayList<>(flavors.values());
+      order.sort(
+          Comparator.<Flavor>comparingInt(f -> wanted.isEmpty() || wanted.contains(f.name()) ? 0 : 1)
+              .thenComparingDouble(f -> f.price() / Math.max(1, f.cpus())));
+      for (Flavor f : order) {
+        for (String zone : f.zones()) {
+          kinds.add(new Kind(f.name(), zone, spot));
+        }
+      }
+    }
+    for (Kind kind : kinds) {
+      if (refusedUntil.getOrDefault(kind, 0L) > now) {
+        continue;
+      }
+      Flavor f = flavors.get(kind.type);
+      int many =
+          (int)
+              Math.min(
+                  Math.min(Constants.MAX_PER_RENTAL, options.maxMachines() - count),
+                  Math.ceil(missing / Math.max(0.5, f.cpus())));
+      if (many > 0) {
+        order(kind, many, prefix + "-" + ++requestSeq, 0);
+        return;
+      }
+    }
+  }
+
+  private static boolean fits(Flavor f, Plan.Unplaced u) {
+    return (u.spec().types() == null || u.spec().types().contains(f.name()))
+        && u.spec().cpus() <= f.cpus()
+        && u.spec().cards() <= f.cards()
+        && u.spec().memGb() <= f.memGb();
+  }
+
+  private void order(Kind kind, int many, String request, int tries) {
+    renting = true;
+    cloud.rent(
+        request,
+        kind.type,
+        kind.zone,
+        kind.spot,
+        many,
+        result -> {
+          renting = false;
+          if (closed) {
+            return;
+          }
+          long now = host.nowMs();
+          if (result instanceof Cloud.Rented.Machines rented) {
+            log.info("rented {} {} (spot {}) of {}", rented.names().size(), kind.type, kind.spot, many);
+            for (String name : rented.names()) {
+              Machine m = fleet.learn(name, null);
+              fleet.describe(m, kind.type, kind.zone, kind.spot);
+              if (m.phase() == Machine.Phase.UNHEARD) {
+                booting.put(name, new Booting(kind, now));
+              }
+            }
+            refusedPause.remove(kind);
+            if (rented.names().size() < many) {
+              refuse(kind, now);
+            }
+          } else if (result instanceof Cloud.Rented.NoCapacity) {
+            refuse(kind, now);
+          } else if (tries < 5) {
+            // Under the same name: if the first was executed, this one rents nothing more.
+            renting = true;
+            host.after(
+                1_500,
+                () -> {
+                  renting = false;
+                  if (!closed) {
+                    order(kind, many, request, tries + 1);
+                  }
+                });
+          }
+        });
+  }
+
+  private void refuse(Kind kind, long now) {
+    long pause = refusedPause.getOrDefault(kind, Constants.REFUSED_FIRST_MS);
+    refusedUntil.put(kind, now + pause);
+    refusedPause.put(kind, Math.min(Constants.REFUSED_MOST_MS, pause * 2));
+  }
+}
--- /dev/null
+++ b/src/main/java/fennelthread/jobs/JobTable.java
@@ -0,0 +1,129 @@
+package fennelthread.jobs;
+
+import fennelthread.state.Keys;
+import fennelthread.state.Replica;
+import fennelthread.wire.Fields;
+import fennelthread.wire.WireException;
+import it.unimi.dsi.fastutil.objects.Object2ObjectLinkedOpenHashMap;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** The live jobs of the replica, decoded. */
+public final class JobTable implements Replica.Listener {
+  private static final Logger log = LoggerFactory.getLogger(JobTable.class);
+
+  /** Told of jobs that come and go. */
+  public interface Listener {
+    /** A job was accepted somewhere. */
+    void added(Job job);
+
+    /** A job is done or was withdrawn. */
+    void removed(Job job);
+  }
+
+  private final Object2ObjectLinkedOpenHashMap<String, Job> jobs =
+      new Object2ObjectLinkedOpenHashMap<>();
+  private final Map<String, Map<String, Fields>> earlyChunks = new HashMap<>();
+  private final Map<String, RoundRecord> rounds = new HashMap<>();
+  private final List<Listener> listeners = new ArrayList<>();
+
+  /** Adds a listener. */
+  public void listen(Listener listener) {
+    listeners.add(listener);
+  }
+
+  /** Removes a listener. */
+  public void ignore(Listener listener) {
+    listeners.remove(listener);
+  }
+
+  /** A live job, or null. */
+  public Job get(String id) {
+    return jobs.get(id);
+  }
+
+  /** All live jobs, in the order in which they became known. */
+  public Collection<Job> all() {
+    return jobs.values();
+  }
+
+  /** The round records, by key. */
+  public Map<String, RoundRecord> rounds() {
+    return rounds;
+  }
+
+  /** How many tasks of a job are recorded as started and not known to be finished; for display. */
+  public int startedTasks(Job job) {
+    java.util.BitSet started = new java.util.BitSet();
+    for (RoundRecord record : rounds.values()) {
+      for (RoundRecord.Start s : record.starts()) {
+        if (s.task().job().equals(job.spec().id())) {
+          started.set(s.task().index());
+        }
+      }
+    }
+    started.andNot(job.finished());
+    return started.cardinality();
+  }
+
+  @Override
+  public void changed(String key, Fields value, long revision) {
+    try {
+      if (key.startsWith(Keys.JOB)) {
+        changedJob(key.substring(Keys.JOB.length()), value, revision);
+      } else if (key.startsWith(Keys.FINISHED)) {
+        changedChunk(key, value);
+      } else if (key.startsWith(Keys.ROUND)) {
+        if (value == null) {
+          rounds.remove(key);
+        } else {
+          rounds.put(key, RoundRecord.read(value));
+        }
+      }
+    } catch (WireException e) {
+      log.error("unreadable record {}: {}", key, e.getMessage());
+    }
+  }
+
+  private void changedJob(String id, Fields value, long revision) throws WireException {
+    if (value == null) {
+      Job job = jobs.remove(id);
+      if (job != null) {
+        listeners.forEach(l -> l.removed(job));
+      }
+      return;
+    }
+    Job job = Job.read(value, revision);
+    Map<String, Fields> chunks = earlyChunks.remove(id);
+    jobs.put(id, job);
+    if (chunks != null) {
+      for (Map.Entry<String, Fields> chunk : chunks.entrySet()) {
+        changedChunk(chunk.getKey(), chunk.getValue());
+      }
+    }
+    List.copyOf(listeners).forEach(l -> l.added(job));
+  }
+
+  private void changedChunk(String key, Fields value) throws WireException {
+    if (value == null) {
+      return;
+    }
+    int slash = key.lastIndexOf('/');
+    String id = key.substring(Keys.FINISHED.length(), slash);
+    Job job = jobs.get(id);
+    if (job == null) {
+      // Keys arrive in order of their names when the replica loads: chunks come before jobs.
+      earlyChunks.computeIfAbsent(id, k -> new HashMap<>()).put(key, value);
+      if (earlyChunks.size() > 10_000) {
+        earlyChunks.clear();
+      }
+      return;
+    }
+    job.readChunk(Integer.parseInt(key.substring(slash + 1)), value);
+  }
+}
--- /dev/null
+++ b/src/main/java/fennelthread/lead/Lease.java
@@ -0,0 +1,306 @@
+package fennelthread.lead;
+
+import fennelthread.Constants;
+import fennelthread.net.Host;
+import fennelthread.settings.Options;
+import fennelthread.settings.Settings;
+import fennelthread.state.Keys;
+import fennelthread.state.Replica;
+import fennelthread.state.StateClient;
+import fennelthread.state.Txn;
+import fennelthread.state.TxnResult;
+import fennelthread.wire.Fields;
+import fennelthread.wire.WireException;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * The epoch lease. The leader's key is bound to a grant; the epoch's key is not, and rises at each
+ * claim. The local lease is counted from a clock reading taken <em>before</em> the claim or renewal
+ * was sent, so that it ends before the grant does, however long the request took.
+ */
+public final class Lease {
+  private static final Logger log = LoggerFactory.getLogger(Lease.class);
+
+  /** Where this controller stands. */
+  public enum Phase {
+    /** Another controller leads, or nobody does yet. */
+    FOLLOWING,
+    /** A claim is under way. */
+    CLAIMING,
+    /** The claim was applied. The local lease may be over all the same. */
+    LEADING
+  }
+
+  /** Told when leading begins and ends. */
+  public interface Listener {
+    /** The claim was applied; nothing was read yet. */
+    void elected(long epoch, long epochRevision);
+
+    /** Leading is over. */
+    void deposed(String why);
+  }
+
+  private final Host host;
+  private final StateClient state;
+  private final Replica replica;
+  private final Listener listener;
+  private final String member;
+  private final String incarnation;
+  private final long ttlMs;
+  private final long leaseMs;
+  private Phase phase = Phase.FOLLOWING;
+  private long epoch;
+  private long epochRevision;
+  private long highestEpoch;
+  private long grant;
+  private long leaseUntil = Long.MIN_VALUE;
+  private long notBefore;
+  private boolean claimPlanned;
+  private boolean endingOld;
+
+  /** Creates the lease of one process; {@code incarnation} tells it from its predecessors. */
+  public Lease(
+      Host host,
+      StateClient state,
+      Replica replica,
+      Settings settings,
+      Options options,
+      String incarnation,
+      Listener listener) {
+    this.host = host;
+    this.state = state;
+    this.replica = replica;
+    this.listener = listener;
+    this.member = settings.member();
+    this.incarnation = incarnation;
+    this.ttlMs =
+        options.grantMs() > 0
+            ? options.grantMs()
+            : Math.min(
+                10_000,
+                Math.max(
+                    2_000, (long) (settings.workers().leaseMs() * Constants.GRANT_SHARE_OF_LEASE)));
+    this.leaseMs =
+        (long) (ttlMs * (1 - 2 * Constants.CLOCK_DRIFT)) - Constants.LEASE_MARGIN_MS;
+    replica.listen((key, value, revision) -> observe(key, value, revision));
+  }
+
+  /** True between claim and step-down, even while the local lease is over. */
+  public boolean isLeading() {
+    return phase == Phase.LEADING;
+  }
+
+  /** True if starts may be sent at this very moment. */
+  public boolean mayStart() {
+    return phase == Phase.LEADING && host.nowMs() < leaseUntil;
+  }
+
+  /** Our epoch; only meaningful while leading. */
+  public long epoch() {
+    return epoch;
+  }
+
+  /** The revision of the epoch's key that all our writes are conditional on. */
+  public long epochRevision() {
+    return epochRevision;
+  }
+
+  /** The highest epoch heard of from anyone. */
+  public long highestEpoch() {
+    return highestEpoch;
+  }
+
+  /** The member that leads as far as we know, or null. */
+  public String leaderMember() {
+    if (phase == Phase.LEADING) {
+      return member;
+    }
+    try {
+      Fields lead = replica.get(Keys.LEAD);
+      return lead == null ? null : lead.text("member");
+    } catch (WireException e) {
+      return null;
+    }
+  }
+
+  /** Takes note of an epoch; a leader of an older one stops at once. */
+  public void heardOf(long other) {
+    highestEpoch = Math.max(highestEpoch, other);
+    if (phase == Phase.LEADING && other > epoch) {
+      stepDown("epoch " + other + " was claimed", 0);
+    }
+  }
+
+  /** Stops leading; claims again only after {@code pauseMs}. */
+  public void stepDown(String why, long pauseMs) {
+    if (phase != Phase.LEADING) {
+      return;
+    }
+    notBefore = host.nowMs() + pauseMs;
+    leaseUntil = Long.MIN_VALUE;
+    long old = grant;
+    moveTo(Phase.FOLLOWING, why);
+    state.endGrant(old, status -> {});
+    listener.deposed(why);
+    host.after(pauseMs + Constants.RETRY_MS, this::consider);
+  }
+
+  private void moveTo(Phase next, String why) {
+    boolean allowed =
+        switch (phase) {
+          case FOLLOWING -> next == Phase.CLAIMING;
+          case CLAIMING -> next == Phase.LEADING || next == Phase.FOLLOWING;
+          case LEADING -> next == Phase.FOLLOWING;
+        };
+    if (!allowed) {
+      throw new IllegalStateException(phase + " -> " + next);
+    }
+    log.info("{} -> {} (epoch {}): {}", phase, next, epoch, why);
+    phase = next;
+  }
+
+  private void observe(String key, Fields value, long revision) {
+    try {
+      if (key.equals(Keys.EPOCH) && value != null) {
+        heardOf(value.count("epoch"));
+      } else if (key.equals(Keys.LEAD)) {
+        if (phase == Phase.LEADING && value == null && revision > epochRevision) {
+          stepDown("the grant has ended", 0);
+        }
+        consider();
+      }
+    } catch (WireException e) {
+      log.error("unreadable {}: {}", key, e.getMessage());
+    }
+  }
+
+  /** Claims if nobody leads; ends the grant of this controller's own dead predecessor. */
+  public void consider() {
+    if (phase != Phase.FOLLOWING || !replica.isReady()) {
+      return;
+    }
+    Fields lead = replica.get(Keys.LEAD);
+    if (lead != null) {
+      endPredecessor(lead);
+      return;
+    }
+    if (claimPlanned) {
+      return;
+    }
+    claimPlanned = true;
+    long wait = Math.max(0, notBefore - host.nowMs());
+    host.after(
+        wait + (long) (Constants.CLAIM_SPREAD_MS * host.random().nextDouble()),
+        () -> {
+          claimPlanned = false;
+          if (phase == Phase.FOLLOWING && replica.isReady() && replica.get(Keys.LEAD) == null) {
+            claim();
+          }
+        });
+  }
+
+  private void endPredecessor(Fields lead) {
+    try {
+      if (endingOld
+          || !lead.text("member").equals(member)
+          || lead.text("incarnation").equals(incarnation)) {
+        return;
+      }
+      endingOld = true;
+      state.endGrant(
+          lead.count("permiso"),
+          status -> {
+            endingOld = false;
+            if (status != 200 && status != 404) {
+              host.after(Constants.RETRY_MS, this::consider);
+            }
+          });
+    } catch (WireException e) {
+      log.error("unreadable leader record: {}", e.getMessage());
+    }
+  }
+
+  private void claim() {
+    moveTo(Phase.CLAIMING, "nobody leads");
+    long t0 = host.nowMs();
+    state.grant(
+        ttlMs,
+        id -> {
+          if (id == 0) {
+            giveUp("no grant");
+            return;
+          }
+          long next = Math.max(highestEpoch, 0) + 1;
+          Txn txn =
+              new Txn()
+                  .when(Keys.LEAD, 0)
+                  .when(Keys.EPOCH, replica.revisionOf(Keys.EPOCH))
+                  .writeBound(
+                      Keys.LEAD,
+                      Fields.create()
+                          .with("member", member)
+                          .with("incarnation", incarnation)
+                          .with("epoch", next)
+                          .with("permiso", id),
+                      id)
+                  .write(Keys.EPOCH, Fields.create().with("epoch", next));
+          state.txn(
+              txn,
+              result -> {
+                if (result instanceof TxnResult.Applied applied) {
+                  won(next, applied.revision(), id, t0, txn);
+                } else {
+                  // Without an answer the claim may still be applied: ending its grant undoes it.
+                  state.endGrant(id, status -> {});
+                  giveUp(result.toString());
+                }
+              });
+        });
+  }
+
+  private void giveUp(String why) {
+    moveTo(Phase.FOLLOWING, why);
+    host.after(
+        (long) (Constants.RETRY_MS * (0.5 + host.random().nextDouble())), this::consider);
+  }
+
+  private void won(long next, long revision, long id, long t0, Txn txn) {
+    epoch = next;
+    epochRevision = revision;
+    grant = id;
+    leaseUntil = t0 + leaseMs;
+    highestEpoch = Math.max(highestEpoch, next);
+    moveTo(Phase.LEADING, "claimed");
+    listener.elected(epoch, epochRevision);
+    replica.applied(txn, revision);
+    if (phase == Phase.LEADING && epoch == next) {
+      host.after(ttlMs / Constants.RENEWALS_PER_GRANT, () -> renew(next));
+    }
+  }
+
+  private void renew(long of) {
+    if (phase != Phase.LEADING || epoch != of) {
+      return;
+    }
+    long t0 = host.nowMs();
+    state.extend(
+        grant,
+        status -> {
+          if (phase != Phase.LEADING || epoch != of) {
+            return;
+          }
+          if (status == 404) {
+            stepDown("the grant has ended", 0);
+            return;
+          }
+          boolean good = status == 200;
+          if (good) {
+            leaseUntil = Math.max(leaseUntil, t0 + leaseMs);
+          }
+          long spent = host.nowMs() - t0;
+          long pause = good ? ttlMs / Constants.RENEWALS_PER_GRANT : Constants.RETRY_MS / 2;
+          host.after(Math.max(20, pause - spent), () -> renew(of));
+        });
+  }
+}
--- /dev/null
+++ b/src/main/java/fennelthread/lead/Term.java
@@ -0,0 +1,814 @@
+package fennelthread.lead;
+
+import fennelthread.Constants;
+import fennelthread.fleet.Attempt;
+import fennelthread.fleet.Cloud;
+import fennelthread.fleet.Fleet;
+import fennelthread.fleet.Machine;
+import fennelthread.fleet.Rentals;
+import fennelthread.jobs.Job;
+import fennelthread.jobs.JobStore;
+import fennelthread.jobs.JobTable;
+import fennelthread.jobs.Lookup;
+import fennelthread.jobs.RoundRecord;
+import fennelthread.net.Answer;
+import fennelthread.net.Host;
+import fennelthread.plan.Plan;
+import fennelthread.plan.Planner;
+import fennelthread.plan.Snapshot;
+import fennelthread.settings.Options;
+import fennelthread.settings.Settings;
+import fennelthread.state.Keys;
+import fennelthread.state.Replica;
+import fennelthread.state.StateClient;
+import fennelthread.state.Txn;
+import fennelthread.state.TxnResult;
+import fennelthread.wire.Beat;
+import fennelthread.wire.Flavor;
+import fennelthread.wire.JobSpec;
+import fennelthread.wire.JobState;
+import fennelthread.wire.Order;
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * One leader's term: everything the leader knows beyond the state service, made anew at each claim
+ * and thrown away when leading ends.
+ */
+public final class Term implements Fleet.Listener, JobTable.Listener {
+  private static final Logger log = LoggerFactory.getLogger(Term.class);
+
+  /** How far the term is. */
+  private enum Phase {
+    /** The replica has not reached the claim: a predecessor's records may be missing. */
+    CATCHING_UP,
+    /** Rounds are made. */
+    ACTIVE,
+    /** Over. */
+    CLOSED
+  }
+
+  private final Host host;
+  private final Settings settings;
+  private final Options options;
+  private final StateClient state;
+  private final Replica replica;
+  private final JobTable table;
+  private final JobStore store;
+  private final Lease lease;
+  private final Supplier<Map<String, Flavor>> flavors;
+  private final Fleet fleet;
+  private final Rentals rentals;
+  private final long epoch;
+  private final Map<String, Run> runs = new LinkedHashMap<>();
+  private final Map<String, double[]> speedByClass = new HashMap<>();
+  private final Set<Run> dirty = new HashSet<>();
+  private final Set<String> attention = new HashSet<>();
+  private Phase phase = Phase.CATCHING_UP;
+  private boolean roundPlanned;
+  private boolean roundRunning;
+  private boolean flushing;
+  private boolean sweeping;
+  private long lastRoundAt;
+  private long roundSeq;
+  private long pausedUntil;
+  private List<Plan.Unplaced> unplaced = List.of();
+
+  /** Begins a term; {@code addresses} are workers that siblings or predecessors knew. */
+  public Term(
+      Host host,
+      Settings settings,
+      Options options,
+      StateClient state,
+      Replica replica,
+      JobTable table,
+      JobStore store,
+      Lease lease,
+      Cloud cloud,
+      Supplier<Map<String, Flavor>> flavors,
+      Consumer<List<Flavor>> onFlavors,
+      LongSupplier othersSilentSince,
+      Map<String, String> addresses) {
+    this.host = host;
+    this.settings = settings;
+    this.options = options;
+    this.state = state;
+    this.replica = replica;
+    this.table = table;
+    this.store = store;
+    this.lease = lease;
+    this.flavors = flavors;
+    this.epoch = lease.epoch();
+    this.fleet = new Fleet(host, settings, epoch, this, othersSilentSince, flavors);
+    this.rentals =
+        new Rentals(
+            host,
+            settings,
+            options,
+            cloud,
+            fleet,
+            "r-" + epoch + "-" + settings.member(),
+            flavors.get(),
+            onFlavors);
+    addresses.forEach((name, address) -> fleet.probe(fleet.learn(name, address)));
+    awaitReplica();
+    rentals.start();
+    tick();
+    rentTick();
+  }
+
+  /** The workers' addresses, for siblings to keep warm. */
+  public Map<String, String> addresses() {
+    Map<String, String> known = new LinkedHashMap<>();
+    for (Machine m : fleet.machines()) {
+      if (m.phase() == Machine.Phase.REPORTING && m.address() != null) {
+        known.put(m.name(), m.address());
+      }
+    }
+    return known;
+  }
+
+  /** When a worker last reported, or -1. */
+  public long lastBeatAt() {
+    return fleet.lastBeatAt();
+  }
+
+  /** Ends the term. */
+  public void close() {
+    moveTo(Phase.CLOSED);
+    fleet.close();
+    rentals.close();
+    table.ignore(this);
+  }
+
+  private void moveTo(Phase next) {
+    log.info("term {}: {} -> {}", epoch, phase, next);
+    phase = next;
+  }
+
+  private void awaitReplica() {
+    if (phase != Phase.CATCHING_UP) {
+      return;
+    }
+    if (replica.revision() < lease.epochRevision()) {
+      replica.onAdvance(this::awaitReplica);
+      return;
+    }
+    for (RoundRecord record : table.rounds().values()) {
+      record.starts().forEach(fleet::inherit);
+    }
+    table.all().forEach(job -> runs.put(job.spec().id(), new Run(job)));
+    for (Machine m : fleet.machines()) {
+      for (Attempt a : m.attempts()) {
+        attach(a);
+      }
+    }
+    table.listen(this);
+    moveTo(Phase.ACTIVE);
+    for (Machine m : List.copyOf(fleet.machines())) {
+      fleet.probe(m);
+      for (Attempt a : m.attempts()) {
+        if (a.phase() == Attempt.Phase.ENDED) {
+          handleEnd(m, a);
+        }
+      }
+    }
+    changed();
+  }
+
+  private void tick() {
+    if (phase == Phase.CLOSED) {
+      return;
+    }
+    fleet.tick();
+    if (phase == Phase.ACTIVE) {
+      watchNotices();
+      if (host.nowMs() - lastRoundAt >= Constants.ROUND_IDLE_MS) {
+        changed();
+      }
+      sweep();
+    }
+    host.after(250, this::tick);
+  }
+
+  private void rentTick() {
+    if (phase == Phase.CLOSED) {
+      return;
+    }
+    if (phase == Phase.ACTIVE && lease.mayStart()) {
+      rentals.tick(unplaced);
+    }
+    host.after(Constants.RENT_EVERY_MS, this::rentTick);
+  }
+
+  /** Answers a report; null if we are not entitled to. */
+  public Answer beat(Beat beat) {
+    Answer answer = fleet.beat(beat);
+    return phase == Phase.CLOSED ? null : answer;
+  }
+
+  // ---------------------------------------------------------------- jobs
+
+  @Override
+  public void added(Job job) {
+    Run run = new Run(job);
+    runs.put(job.spec().id(), run);
+    changed();
+  }
+
+  @Override
+  public void removed(Job job) {
+    Run run = runs.remove(job.spec().id());
+    if (run != null) {
+      dirty.remove(run);
+      for (List<Attempt> attempts : run.attempts().values()) {
+        for (Attempt a : attempts) {
+          attention.add(a.start().machine());
+        }
+      }
+    }
+    for (String name : attention) {
+      Machine m = fleet.get(name);
+      if (m != null && m.phase() == Machine.Phase.REPORTING) {
+        fleet.sendOrders(m);
+      }
+    }
+    attention.clear();
+    changed();
+  }
+
+  // ---------------------------------------------------------------- fleet
+
+  @Override
+  public void higherToken(long other) {
+    lease.heardOf(other);
+  }
+
+  @Override
+  public RoundRecord.Start describe(Machine m, Beat.Task task) {
+    Job job = table.get(task.ref().job());
+    RoundRecord.Start start;
+    if (job != null && task.ref().index() < job.spec().tasks()) {
+      start =
+          RoundRecord.Start.of(
+              job.spec(), task.ref().index(), task.attempt(), m.name(), m.session());
+    } else {
+      start =
+          new RoundRecord.Start(task.ref(), task.attempt(), m.name(), m.session(), "", 0, 0, 0);
+    }
+    return start;
+  }
+
+  @Override
+  public void adopted(Attempt a) {
+    attach(a);
+  }
+
+  private void attach(Attempt a) {
+    Run run = runs.get(a.start().task().job());
+    if (run != null && a.mayBePresent()) {
+      run.attach(a);
+    }
+  }
+
+  @Override
+  public void ended(Machine m, Attempt a) {
+    if (phase != Phase.ACTIVE) {
+      return;
+    }
+    handleEnd(m, a);
+  }
+
+  private void handleEnd(Machine m, Attempt a) {
+    if (a.isHandled()) {
+      return;
+    }
+    a.handled();
+    Run run = runs.get(a.start().task().job());
+    if (run == null) {
+      return;
+    }
+    int index = a.start().task().index();
+    run.detach(a);
+    if (a.phase() == Attempt.Phase.GONE || a.motive() == null) {
+      return;
+    }
+    long now = host.nowMs();
+    JobSpec spec = run.job().spec();
+    switch (a.motive()) {
+      case DONE -> {
+        fleet.succeeded(m);
+        fleet.cached(m, spec.image(), spec.imageGb());
+        if (a.runningSinceMs() >= 0 && spec.estimateS() > 0) {
+          learn(spec, (now - a.runningSinceMs()) / 1000.0);
+        }
+        if (!spec.service()) {
+          run.finish(index);
+          dirty.add(run);
+          flush();
+        }
+      }
+      case ERROR -> {
+        boolean known = run.failedOn(index, m.name(), now, host.random().nextDouble());
+        if (!known && fleet.failed(m, spec.id())) {
+          log.info("{} fails its tasks, draining it", m.name());
+          fleet.drain(m);
+        }
+      }
+      case HALTED -> run.pause(index, 0);
+      case FULL, BUSY, NO_SUCH, OTHER -> run.refused(index, now, host.random().nextDouble());
+      default -> throw new IllegalStateException();
+    }
+  }
+
+  private void learn(JobSpec spec, double tookS) {
+    double[] s = speedByClass.computeIfAbsent(spec.jobClass(), k -> new double[] {3, 3});
+    s[0] = s[0] * 0.95 + Math.min(5, tookS / spec.estimateS());
+    s[1] = s[1] * 0.95 + 1;
+  }
+
+  private double estimate(JobSpec spec) {
+    double[] s = speedByClass.get(spec.jobClass());
+    return spec.estimateS() * (s == null ? 1 : s[0] / s[1]);
+  }
+
+  @Override
+  public List<Order> ordersFor(Machine m) {
+    if (phase != Phase.ACTIVE) {
+      return List.of();
+    }
+    List<Order> orders = new ArrayList<>();
+    for (Attempt a : m.attempts()) {
+      Run run = runs.get(a.start().task().job());
+      int index = a.start().task().index();
+      switch (a.phase()) {
+        case ENDED -> {
+          // Each start is sent exactly once, so no start of an ended attempt can be in flight.
+          if (run == null
+              || a.motive() != Beat.Motive.DONE
+              || run.job().spec().service()
+              || run.isDurable(index)) {
+            orders.add(new Order.Clear(a.start().task(), a.start().attempt()));
+          }
+        }
+        case FETCHING, RUNNING, FLUSHING -> {
+          boolean unwanted = run == null || run.isFinished(index);
+          if (unwanted) {
+            orders.add(new Order.Stop(a.start().task(), a.start().attempt(), 0));
+          } else if (a.isStopping() && a.phase() != Attempt.Phase.FLUSHING) {
+            double grace = run.job().spec().checkpointS() > 0 ? run.job().spec().saveS() + 1 : 0;
+            orders.add(new Order.Stop(a.start().task(), a.start().attempt(), grace));
+          }
+        }
+        default -> {
+          // Nothing to say of attempts that the worker has not reported.
+        }
+      }
+      if (orders.size() >= 400) {
+        break;
+      }
+    }
+    return orders;
+  }
+
+  private void watchNotices() {
+    long now = host.nowMs();
+    for (Machine m : fleet.machines()) {
+      if (m.phase() != Machine.Phase.REPORTING || m.noticeUntilMs() < 0) {
+        continue;
+      }
+      double left = (m.noticeUntilMs() - now) / 1000.0;
+      boolean stopped = false;
+      for (Attempt a : m.attempts()) {
+        Run run = runs.get(a.start().task().job());
+        if (run == null || a.isStopping() || !a.mayBePresent()) {
+          continue;
+        }
+        JobSpec spec = run.job().spec();
+        double ran = a.runningSinceMs() < 0 ? 0 : (now - a.runningSinceMs()) / 1000.0;
+        boolean willFinish =
+            !spec.service() && a.phase() == Attempt.Phase.RUNNING && estimate(spec) - ran < left;
+        if (!willFinish) {
+          a.stopping();
+          stopped = true;
+        }
+      }
+      if (stopped) {
+        fleet.sendOrders(m);
+      }
+    }
+  }
+
+  // ---------------------------------------------------------------- rounds
+
+  @Override
+  public void changed() {
+    if (phase != Phase.ACTIVE || roundPlanned || roundRunning) {
+      return;
+    }
+    roundPlanned = true;
+    long now = host.nowMs();
+    long at = Math.max(lastRoundAt + options.roundGapMs(), pausedUntil);
+    host.after(
+        Math.max(1, at - now),
+        () -> {
+          roundPlanned = false;
+          round();
+        });
+  }
+
+  private void round() {
+    if (phase != Phase.ACTIVE || roundRunning) {
+      return;
+    }
+    lastRoundAt = host.nowMs();
+    if (!lease.mayStart()) {
+      return;
+    }
+    Plan plan = Planner.plan(snapshot());
+    unplaced = plan.unplaced();
+    Set<Machine> stopOn = new HashSet<>();
+    for (Snapshot.Running r : plan.stops()) {
+      Machine m = fleet.get(r.machine());
+      for (Attempt a : m.attempts()) {
+        if (a.start().task().toString().concat("#" + a.start().attempt()).equals(r.attemptKey())) {
+          a.stopping();
+          stopOn.add(m);
+        }
+      }
+    }
+    stopOn.forEach(fleet::sendOrders);
+    if (plan.starts().isEmpty()) {
+      return;
+    }
+    Txn txn = new Txn().when(Keys.EPOCH, lease.epochRevision());
+    Map<Machine, List<Attempt>> byMachine = new LinkedHashMap<>();
+    List<RoundRecord.Start> starts = new ArrayList<>();
+    Set<String> jobs = new HashSet<>();
+    int mostJobs = settings.state().txnOps() * 4 - 1;
+    for (Plan.Start s : plan.starts()) {
+      Run run = runs.get(s.spec().id());
+      if (!jobs.contains(s.spec().id()) && jobs.size() >= mostJobs) {
+        continue;
+      }
+      if (jobs.add(s.spec().id())) {
+        // A job that was withdrawn meanwhile fails the whole record.
+        txn.when(Keys.job(s.spec().id()), run.job().revision());
+      }
+      Machine m = fleet.get(s.machine());
+      Attempt a = fleet.create(m, s.spec(), s.task());
+      run.attach(a);
+      byMachine.computeIfAbsent(m, k -> new ArrayList<>()).add(a);
+      starts.add(a.start());
+    }
+    String key = Keys.ROUND + String.format("%010d-%08d", epoch, ++roundSeq);
+    txn.write(key, new RoundRecord(starts).write());
+    roundRunning = true;
+    state.txn(
+        txn,
+        result -> {
+          roundRunning = false;
+          if (phase == Phase.CLOSED) {
+            return;
+          }
+          if (result instanceof TxnResult.Applied applied) {
+            replica.applied(txn, applied.revision());
+            sendStarts(byMachine);
+          } else {
+            log.info("round abandoned: {}", result);
+            abandon(byMachine);
+            if (result instanceof TxnResult.Conflict c) {
+              conflict(c);
+            }
+            pausedUntil = host.nowMs() + Constants.RETRY_MS;
+          }
+          changed();
+        });
+  }
+
+  private void sendStarts(Map<Machine, List<Attempt>> byMachine) {
+    // The check that the paper's first counterexample is about: between the claim, or the last
+    // renewal, and this moment the lease may have run out, however well the write went.
+    if (!lease.mayStart()) {
+      log.info("round abandoned: the local lease is over");
+      abandon(byMachine);
+      return;
+    }
+    byMachine.forEach(
+        (m, attempts) -> {
+          attempts.removeIf(a -> a.phase() != Attempt.Phase.RECORDED);
+          boolean wanted = false;
+          for (Attempt a : List.copyOf(attempts)) {
+            if (!runs.containsKey(a.start().task().job())) {
+              fleet.abandon(m, a);
+              attempts.remove(a);
+            }
+          }
+          wanted = !attempts.isEmpty();
+          if (wanted && m.session() == attempts.get(0).start().session()
+              && m.phase() == Machine.Phase.REPORTING) {
+            fleet.sendStarts(m, attempts);
+          } else {
+            drop(m, attempts);
+          }
+        });
+  }
+
+  private void abandon(Map<Machine, List<Attempt>> byMachine) {
+    byMachine.forEach(this::drop);
+  }
+
+  private void drop(Machine m, List<Attempt> attempts) {
+    for (Attempt a : attempts) {
+      fleet.abandon(m, a);
+      Run run = runs.get(a.start().task().job());
+      if (run != null) {
+        run.detach(a);
+      }
+    }
+  }
+
+  private void conflict(TxnResult.Conflict c) {
+    if (c.failed().contains(Keys.EPOCH)) {
+      lease.stepDown("the epoch has moved on", 0);
+    }
+  }
+
+  private Snapshot snapshot() {
+    long now = host.nowMs();
+    Map<String, Flavor> types = flavors.get();
+    Map<String, double[]> used = new HashMap<>();
+    Map<String, double[]> demanded = new HashMap<>();
+    List<Snapshot.Host> hosts = new ArrayList<>();
+    List<Snapshot.Running> running = new ArrayList<>();
+    Map<String, Boolean> guaranteed = guaranteedJobs(demanded);
+    for (Machine m : fleet.machines()) {
+      Flavor f = types.get(m.type());
+      boolean ready = f != null && fleet.isReady(m);
+      double cpus = f == null ? 0 : f.cpus();
+      double cards = f == null ? 0 : f.cards();
+      double mem = f == null ? 0 : f.memGb();
+      Set<String> fetching = new HashSet<>();
+      Map<String, Integer> classes = new HashMap<>();
+      for (Attempt a : m.attempts()) {
+        if (!a.mayBePresent()) {
+          continue;
+        }
+        RoundRecord.Start s = a.start();
+        double[] u = used.computeIfAbsent(s.team(), k -> new double[2]);
+        u[0] += s.cpus();
+        u[1] += s.cards();
+        cpus -= s.cpus();
+        cards -= s.cards();
+        mem -= s.memGb();
+        Run run = runs.get(s.task().job());
+        if (run == null) {
+          continue;
+        }
+        JobSpec spec = run.job().spec();
+        classes.merge(spec.jobClass(), 1, Integer::sum);
+        if (a.phase() == Attempt.Phase.RUNNING || a.phase() == Attempt.Phase.FLUSHING) {
+          fleet.cached(m, spec.image(), spec.imageGb());
+        } else {
+          fetching.add(spec.image());
+        }
+        if (ready && a.phase() != Attempt.Phase.RECORDED && a.phase() != Attempt.Phase.SENT) {
+          running.add(
+              new Snapshot.Running(
+                  s.task() + "#" + s.attempt(),
+                  m.name(),
+                  spec.team(),
+                  spec.priority().ordinal(),
+                  !guaranteed.getOrDefault(spec.id(), false),
+                  a.isStopping(),
+                  s.cpus(),
+                  s.cards(),
+                  s.memGb(),
+                  a.runningSinceMs() < 0 ? 0 : (now - a.runningSinceMs()) / 1000.0));
+        }
+      }
+      if (ready) {
+        fetching.removeAll(m.images());
+        hosts.add(
+            new Snapshot.Host(
+                m.name(),
+                m.type(),
+                m.zone(),
+                m.spot(),
+                f.cpus(),
+                cpus,
+                cards,
+                mem,
+                f.fetchGbPerS(),
+                f.cacheGb(),
+                Set.copyOf(m.images()),
+                fetching,
+                classes));
+      }
+    }
+    Map<String, Snapshot.Use> teams = new HashMap<>();
+    for (Settings.Team t : settings.teams().values()) {
+      double[] u = used.getOrDefault(t.name(), new double[2]);
+      teams.put(t.name(), new Snapshot.Use(u[0], u[1], t.cpusMax(), t.cardsMax()));
+    }
+    List<Snapshot.Need> needs = new ArrayList<>();
+    double total = 0;
+    long order = 0;
+    int mostStarts =
+        Math.min(
+            Constants.STARTS_PER_ROUND,
+            (settings.state().valueBytes() - Constants.VALUE_SLACK_BYTES)
+                / Constants.RECORD_BYTES_PER_START);
+    for (Run run : runs.values()) {
+      order++;
+      JobSpec spec = run.job().spec();
+      total += run.unfinished() * spec.cpus();
+      List<Integer> tasks = run.pending(now, mostStarts * 4);
+      if (tasks.isEmpty()) {
+        continue;
+      }
+      double slack = Double.MAX_VALUE;
+      if (spec.deadlineS() != JobSpec.NO_DEADLINE) {
+        slack =
+            spec.deadlineS()
+                - (host.wallMs() - run.job().acceptedWallMs()) / 1000.0
+                - estimate(spec);
+      }
+      needs.add(
+          new Snapshot.Need(
+              spec,
+              tasks,
+              zonesOf(run),
+              guaranteed.getOrDefault(spec.id(), false),
+              spec.service() || settings.waitsMatter(spec.jobClass()),
+              slack,
+              order));
+    }
+    rentals.demand(total);
+    return new Snapshot(hosts, needs, running, teams, mostStarts);
+  }
+
+  /** A team's oldest jobs are within its guarantee, as far as they fit into it together. */
+  private Map<String, Boolean> guaranteedJobs(Map<String, double[]> demanded) {
+    Map<String, Boolean> guaranteed = new HashMap<>();
+    for (Run run : runs.values()) {
+      JobSpec spec = run.job().spec();
+      Settings.Team team = settings.teams().get(spec.team());
+      if (team == null) {
+        continue;
+      }
+      double[] d = demanded.computeIfAbsent(spec.team(), k -> new double[2]);
+      d[0] += run.unfinished() * spec.cpus();
+      d[1] += run.unfinished() * spec.cards();
+      guaranteed.put(spec.id(), d[0] <= team.cpus() + 1e-9 && d[1] <= team.cards() + 1e-9);
+    }
+    return guaranteed;
+  }
+
+  private Map<String, Integer> zonesOf(Run run) {
+    Map<String, Integer> zones = new HashMap<>();
+    for (List<Attempt> attempts : run.attempts().values()) {
+      for (Attempt a : attempts) {
+        Machine m = fleet.get(a.start().machine());
+        if (m != null && a.mayBePresent() && m.zone() != null) {
+          zones.merge(m.zone(), 1, Integer::sum);
+        }
+      }
+    }
+    return zones;
+  }
+
+  // ---------------------------------------------------------------- finished tasks
+
+  private void flush() {
+    if (flushing || dirty.isEmpty() || phase != Phase.ACTIVE) {
+      return;
+    }
+    int ops = settings.state().txnOps();
+    Txn txn = new Txn().when(Keys.EPOCH, lease.epochRevision());
+    Map<Run, BitSet> written = new LinkedHashMap<>();
+    Map<Run, Lookup.Final> ends = new LinkedHashMap<>();
+    for (Run run : dirty) {
+      String id = run.job().spec().id();
+      int room = ops - txn.ops();
+      if (room < 2) {
+        break;
+      }
+      if (run.unfinished() == 0) {
+        Lookup.Final end = new Lookup.Final(JobState.DONE, run.job().spec().tasks());
+        JobStore.addFinal(txn, id, end);
+        ends.put(run, end);
+      } else {
+        BitSet covered = run.job().finished().get(0, run.job().spec().tasks());
+        int chunks = 0;
+        for (int chunk : run.dirtyChunks()) {
+          if (chunks++ >= room) {
+            break;
+          }
+          txn.write(Keys.finished(id, chunk), Job.writeChunk(chunk, run.finishedTasks()));
+          int from = chunk * Constants.TASKS_PER_CHUNK;
+          for (int i = from; i < from + Constants.TASKS_PER_CHUNK; i++) {
+            if (run.isFinished(i)) {
+              covered.set(i);
+            }
+          }
+        }
+        written.put(run, covered);
+      }
+      txn.when(Keys.job(id), run.job().revision());
+    }
+    flushing = true;
+    state.txn(
+        txn,
+        result -> {
+          flushing = false;
+          if (phase == Phase.CLOSED) {
+            return;
+          }
+          if (result instanceof TxnResult.Applied applied) {
+            written.forEach(
+                (run, covered) -> {
+                  run.durable(covered);
+                  if (!run.isDirty()) {
+                    dirty.remove(run);
+                  }
+                });
+            ends.forEach(
+                (run, end) -> {
+                  dirty.remove(run);
+                  store.madeFinal(txn, applied.revision(), run.job().spec().id(), end);
+                  runs.remove(run.job().spec().id());
+                });
+            replica.applied(txn, applied.revision());
+            flush();
+            changed();
+          } else {
+            if (result instanceof TxnResult.Conflict c) {
+              conflict(c);
+              // A job that was withdrawn has no record any more: its tasks need not be kept.
+              dirty.removeIf(run -> c.failed().contains(Keys.job(run.job().spec().id())));
+            }
+            host.after(Constants.RETRY_MS, this::flush);
+          }
+        });
+  }
+
+  // ---------------------------------------------------------------- sweeping
+
+  private long sweptAt;
+
+  /** Removes round records without live attempts, and finished tasks of jobs that are final. */
+  private void sweep() {
+    if (sweeping || !lease.mayStart() || host.nowMs() - sweptAt < Constants.SWEEP_MS) {
+      return;
+    }
+    sweptAt = host.nowMs();
+    Txn txn = new Txn().when(Keys.EPOCH, lease.epochRevision());
+    int most = settings.state().txnOps();
+    for (Map.Entry<String, RoundRecord> e : table.rounds().entrySet()) {
+      if (txn.ops() >= most) {
+        break;
+      }
+      boolean needed = roundRunning && e.getKey().startsWith(Keys.ROUND + String.format("%010d", epoch));
+      for (RoundRecord.Start s : e.getValue().starts()) {
+        Attempt a = fleet.find(s.machine(), s.task(), s.attempt());
+        needed |= a != null && a.mayBePresent();
+      }
+      if (!needed) {
+        txn.remove(e.getKey());
+      }
+    }
+    for (String key : replica.keys(Keys.FINISHED).keySet()) {
+      if (txn.ops() >= most) {
+        break;
+      }
+      String id = key.substring(Keys.FINISHED.length(), key.lastIndexOf('/'));
+      if (table.get(id) == null) {
+        txn.remove(key);
+      }
+    }
+    if (txn.ops() == 0) {
+      return;
+    }
+    sweeping = true;
+    state.txn(
+        txn,
+        result -> {
+          sweeping = false;
+          if (result instanceof TxnResult.Applied applied) {
+            replica.applied(txn, applied.revision());
+          }
+        });
+  }
+}
--- /dev/null
+++ b/src/main/java/fennelthread/net/Host.java
@@ -0,0 +1,35 @@
+package fennelthread.net;
+
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+
+/**
+ * What a controller needs from the machine it runs on. Everything is called back on one thread, so
+ * that no state needs a lock; in tests a seeded simulation takes the place of the machine.
+ */
+public interface Host {
+
+  /** Something that can be called off. */
+  interface Cancellable {
+    /** Calls it off; does nothing if it has happened already. */
+    void cancel();
+  }
+
+  /** The steady clock in milliseconds; it may run fast by the protocol's bound. */
+  long nowMs();
+
+  /** The time of day in milliseconds, for deadlines and display only. */
+  long wallMs();
+
+  /** Runs {@code task} after {@code delayMs}. */
+  Cancellable after(long delayMs, Runnable task);
+
+  /** The source of all randomness. */
+  RandomGenerator random();
+
+  /**
+   * Sends a request. {@code done} gets the answer, or null if there was none in time: then the
+   * request may have been executed, or may still be.
+   */
+  void call(String address, Call call, long timeoutMs, Consumer<Answer> done);
+}
--- /dev/null
+++ b/src/main/java/fennelthread/net/XnioHost.java
@@ -0,0 +1,485 @@
+package fennelthread.net;
+
+import fennelthread.Constants;
+import fennelthread.wire.Codec;
+import io.undertow.Undertow;
+import io.undertow.UndertowOptions;
+import io.undertow.client.ClientCallback;
+import io.undertow.client.ClientConnection;
+import io.undertow.client.ClientExchange;
+import io.undertow.client.ClientRequest;
+import io.undertow.client.UndertowClient;
+import io.undertow.connector.ByteBufferPool;
+import io.undertow.connector.PooledByteBuffer;
+import io.undertow.server.DefaultByteBufferPool;
+import io.undertow.server.HttpHandler;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Headers;
+import io.undertow.util.HttpString;
+import io.undertow.util.Protocols;
+import io.undertow.util.SameThreadExecutor;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.net.URI;
+import java.nio.ByteBuffer;
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.xnio.ChannelListener;
+import org.xnio.IoUtils;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioExecutor;
+import org.xnio.XnioIoThread;
+import org.xnio.XnioWorker;
+import org.xnio.channels.StreamSinkChannel;
+import org.xnio.channels.StreamSourceChannel;
+
+/** The real machine: Undertow's server and client over one XNIO thread, which owns all state. */
+public final class XnioHost implements Host {
+  private static final Logger log = LoggerFactory.getLogger(XnioHost.class);
+
+  private final XnioWorker worker;
+  private final XnioIoThread thread;
+  private final ByteBufferPool buffers = new DefaultByteBufferPool(false, 4096, 64, 4);
+  private final UndertowClient client = UndertowClient.getInstance();
+  private final Map<String, Peer> peers = new HashMap<>();
+  private final RandomGenerator random = new SplittableRandom();
+  private final long startNanos = System.nanoTime();
+  private Undertow server;
+
+  /** Creates the host with its thread; nothing listens yet. */
+  public XnioHost() throws IOException {
+    worker =
+        Xnio.getInstance()
+            .createWorker(
+                OptionMap.builder()
+                    .set(Options.WORKER_IO_THREADS, 1)
+                    .set(Options.WORKER_TASK_CORE_THREADS, 0)
+                    .set(Options.WORKER_TASK_MAX_THREADS, 1)
+                    .set(Options.STACK_SIZE, 256L * 1024)
+                    .set(Options.TCP_NODELAY, true)
+                    .set(Options.WORKER_NAME, "fennelthread")
+                    .getMap());
+    thread = worker.getIoThread();
+  }
+
+  /** Runs a task on the thread that owns all state. */
+  public void run(Runnable task) {
+    thread.execute(guarded(task));
+  }
+
+  /** Listens; the services are called on the one thread. */
+  public void listen(String apiAddr, Service api, String meshAddr, Service mesh) {
+    server =
+        Undertow.builder()
+            .setWorker(worker)
+            .setByteBufferPool(buffers)
+            .setServerOption(UndertowOptions.ALWAYS_SET_DATE, false)
+            .setServerOption(UndertowOptions.ALWAYS_SET_KEEP_ALIVE, false)
+            .setServerOption(UndertowOptions.RECORD_REQUEST_START_TIME, false)
+            .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, 90_000)
+            .setSocketOption(Options.BACKLOG, 256)
+            .setSocketOption(Options.REUSE_ADDRESSES, true)
+            .addListener(listener(apiAddr, handler(api)))
+            .addListener(listener(meshAddr, handler(mesh)))
+            .build();
+    server.start();
+  }
+
+  private static Undertow.ListenerBuilder listener(String addr, HttpHandler handler) {
+    int colon = addr.lastIndexOf(':');
+    return new Undertow.ListenerBuilder()
+        .setType(Undertow.ListenerType.HTTP)
+        .setHost(addr.substring(0, colon))
+        .setPort(Integer.parseInt(addr.substring(colon + 1)))
+        .setRootHandler(handler);
+  }
+
+  @Override
+  public long nowMs() {
+    return (System.nanoTime() - startNanos) / 1_000_000;
+  }
+
+  @Override
+  public long wallMs() {
+    return System.currentTimeMillis();
+  }
+
+  @Override
+  public Cancellable after(long delayMs, Runnable task) {
+    XnioExecutor.Key key =
+        thread.executeAfter(guarded(task), Math.max(0, delayMs), TimeUnit.MILLISECONDS);
+    return key::remove;
+  }
+
+  @Override
+  public RandomGenerator random() {
+    return random;
+  }
+
+  /** One task's mistake must not end the thread that everything runs on. */
+  private static Runnable guarded(Runnable task) {
+    return () -> {
+      try {
+        task.run();
+      } catch (RuntimeException e) {
+        log.error("a task failed", e);
+      }
+    };
+  }
+
+  // ---------------------------------------------------------------- server
+
+  private HttpHandler handler(Service service) {
+    return exchange -> exchange.dispatch(SameThreadExecutor.INSTANCE, () -> read(exchange, service));
+  }
+
+  private void read(HttpServerExchange exchange, Service service) {
+    String method = exchange.getRequestMethod().toString();
+    String path = exchange.getRequestPath();
+    if (method.equals("GET") && exchange.isRequestComplete()) {
+      serve(exchange, service, new Request(method, path, null));
+      return;
+    }
+    if (exchange.getRequestContentLength() > Constants.MAX_BODY_BYTES) {
+      tooLarge(exchange);
+      return;
+    }
+    exchange.getRequestReceiver().setMaxBufferSize(Constants.MAX_BODY_BYTES);
+    exchange
+        .getRequestReceiver()
+        .receiveFullBytes(
+            (e, body) -> {
+              if (body.length > Constants.MAX_BODY_BYTES) {
+                tooLarge(e);
+              } else {
+                serve(e, service, new Request(method, path, body));
+              }
+            },
+            (e, failure) -> {
+              if (failure instanceof io.undertow.io.Receiver.RequestToLargeException) {
+                tooLarge(e);
+              } else {
+                IoUtils.safeClose(e.getConnection());
+              }
+            });
+  }
+
+  private static void tooLarge(HttpServerExchange exchange) {
+    respond(
+        exchange,
+        new Answer(
+            413,
+            Answer.error(413, "body: is larger than " + Constants.MAX_BODY_BYTES + " bytes").body(),
+            Codec.CBOR,
+            0,
+            true));
+  }
+
+  private static void serve(HttpServerExchange exchange, Service service, Request request) {
+    try {
+      service.handle(request, answer -> respond(exchange, answer));
+    } catch (RuntimeException e) {
+      log.error("{} {} failed", request.method(), request.path(), e);
+      respond(exchange, Answer.error(500, "internal error"));
+    }
+  }
+
+  private static void respond(HttpServerExchange exchange, Answer answer) {
+    if (exchange.isResponseStarted()) {
+      return;
+    }
+    exchange.setStatusCode(answer.status());
+    exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, answer.codec().contentType());
+    if (answer.retryAfterS() > 0) {
+      exchange.getResponseHeaders().put(Headers.RETRY_AFTER, answer.retryAfterS());
+    }
+    if (answer.close()) {
+      exchange.setPersistent(false);
+      exchange.getResponseHeaders().put(Headers.CONNECTION, "close");
+    }
+    exchange.getResponseSender().send(ByteBuffer.wrap(answer.body()));
+  }
+
+  // ---------------------------------------------------------------- client
+
+  private static final class Idle {
+    final ClientConnection connection;
+    final long sinceMs;
+
+    Idle(ClientConnection connection, long sinceMs) {
+      this.connection = connection;
+      this.sinceMs = sinceMs;
+    }
+  }
+
+  private static final class Peer {
+    final ArrayDeque<Idle> idle = new ArrayDeque<>();
+    final ArrayDeque<Pending> waiting = new ArrayDeque<>();
+    int connecting;
+  }
+
+  /** One call under way, answered exactly once. */
+  private final class Pending {
+    final String address;
+    final Call call;
+    final Consumer<Answer> done;
+    Cancellable timer;
+    ClientConnection connection;
+    boolean over;
+
+    Pending(String address, Call call, Consumer<Answer> done) {
+      this.address = address;
+      this.call = call;
+      this.done = done;
+    }
+
+    void finish(Answer answer, boolean reusable) {
+      if (over) {
+        return;
+      }
+      over = true;
+      timer.cancel();
+      if (connection != null) {
+        if (reusable && connection.isOpen()) {
+          keep(address, connection);
+        } else {
+          IoUtils.safeClose(connection);
+        }
+      }
+      try {
+        done.accept(answer);
+      } catch (RuntimeException e) {
+        log.error("handling the answer to {} failed", call.path(), e);
+      }
+    }
+  }
+
+  private void keep(String address, ClientConnection connection) {
+    Peer peer = peers.computeIfAbsent(address, a -> new Peer());
+    Pending next = peer.waiting.poll();
+    while (next != null && next.over) {
+      next = peer.waiting.poll();
+    }
+    if (next != null) {
+      send(next, connection);
+    } else if (peer.idle.size() < Constants.IDLE_PER_ADDRESS) {
+      peer.idle.push(new Idle(connection, nowMs()));
+    } else {
+      IoUtils.safeClose(connection);
+    }
+  }
+
+  @Override
+  public void call(String address, Call call, long timeoutMs, Consumer<Answer> done) {
+    Pending p = new Pending(address, call, done);
+    p.timer = after(timeoutMs, () -> p.finish(null, false));
+    Peer peer = peers.computeIfAbsent(address, a -> new Peer());
+    while (!peer.idle.isEmpty()) {
+      Idle idle = peer.idle.pop();
+      if (idle.connection.isOpen() && nowMs() - idle.sinceMs < Constants.IDLE_MS) {
+        send(p, idle.connection);
+        return;
+      }
+      IoUtils.safeClose(idle.connection);
+    }
+    peer.waiting.add(p);
+    if (peer.connecting < Constants.CONNECTING_PER_ADDRESS) {
+      connect(address, peer);
+    }
+  }
+
+  private void connect(String address, Peer peer) {
+    peer.connecting++;
+    boolean[] over = new boolean[1];
+    // A peer without power never refuses: after a while the attempt no longer counts, and a later
+    // call makes a fresh one.
+    Cancellable giveUp =
+        after(
+            Constants.CLOUD_TIMEOUT_MS,
+            () -> {
+              if (!over[0]) {
+                over[0] = true;
+                peer.connecting--;
+              }
+            });
+    client.connect(
+        new ClientCallback<>() {
+          @Override
+          public void completed(ClientConnection connection) {
+            if (!over[0]) {
+              over[0] = true;
+              peer.connecting--;
+              giveUp.cancel();
+            }
+            connection
+                .getCloseSetter()
+                .set(
+                    c -> {
+                      peer.idle.removeIf(i -> i.connection == connection);
+                    });
+            keep(address, connection);
+          }
+
+          @Override
+          public void failed(IOException e) {
+            if (over[0]) {
+              return;
+            }
+            over[0] = true;
+            peer.connecting--;
+            giveUp.cancel();
+            Pending p = peer.waiting.poll();
+            while (p != null && p.over) {
+              p = peer.waiting.poll();
+            }
+            if (p != null) {
+              p.finish(null, false);
+            }
+            if (!peer.waiting.isEmpty() && peer.connecting == 0) {
+              connect(address, peer);
+            }
+          }
+        },
+        URI.create("http://" + address),
+        thread,
+        buffers,
+        OptionMap.create(Options.TCP_NODELAY, true));
+  }
+
+  private void send(Pending p, ClientConnection connection) {
+    p.connection = connection;
+    byte[] body = p.call.body();
+    ClientRequest request =
+        new ClientRequest()
+            .setMethod(new HttpString(p.call.method()))
+            .setPath(p.call.path())
+            .setProtocol(Protocols.HTTP_1_1);
+    request.getRequestHeaders().put(Headers.HOST, p.address);
+    request.getRequestHeaders().put(Headers.CONTENT_LENGTH, body == null ? 0 : body.length);
+    if (body != null) {
+      request.getRequestHeaders().put(Headers.CONTENT_TYPE, p.call.codec().contentType());
+    }
+    connection.sendRequest(
+        request,
+        new ClientCallback<>() {
+          @Override
+          public void completed(ClientExchange exchange) {
+            exchange.setResponseListener(
+                new ClientCallback<>() {
+                  @Override
+                  public void completed(ClientExchange answered) {
+                    receive(p, answered);
+                  }
+
+                  @Override
+                  public void failed(IOException e) {
+                    p.finish(null, false);
+                  }
+                });
+            write(p, exchange.getRequestChannel(), body);
+          }
+
+          @Override
+          public void failed(IOException e) {
+            p.finish(null, false);
+          }
+        });
+  }
+
+  private static void write(Pending p, StreamSinkChannel channel, byte[] body) {
+    ByteBuffer data = ByteBuffer.wrap(body == null ? new byte[0] : body);
+    ChannelListener<StreamSinkChannel> writer =
+        new ChannelListener<>() {
+          private boolean shut;
+
+          @Override
+          public void handleEvent(StreamSinkChannel c) {
+            try {
+              while (data.hasRemaining()) {
+                if (c.write(data) == 0) {
+                  c.resumeWrites();
+                  return;
+                }
+              }
+              if (!shut) {
+                shut = true;
+                c.shutdownWrites();
+              }
+              if (!c.flush()) {
+                c.resumeWrites();
+                return;
+              }
+              c.suspendWrites();
+            } catch (IOException e) {
+              p.finish(null, false);
+            }
+          }
+        };
+    channel.getWriteSetter().set(writer);
+    writer.handleEvent(channel);
+  }
+
+  private void receive(Pending p, ClientExchange exchange) {
+    var response = exchange.getResponse();
+    String close = response.getResponseHeaders().getFirst(Headers.CONNECTION);
+    boolean reusable = close == null || !close.equalsIgnoreCase("close");
+    String after = response.getResponseHeaders().getFirst(Headers.RETRY_AFTER);
+    int retryAfterS = 0;
+    if (after != null) {
+      try {
+        retryAfterS = Integer.parseInt(after.trim());
+      } catch (NumberFormatException e) {
+        retryAfterS = 0;
+      }
+    }
+    int wait = retryAfterS;
+    StreamSourceChannel channel = exchange.getResponseChannel();
+    ByteArrayOutputStream collected = new ByteArrayOutputStream(512);
+    ChannelListener<StreamSourceChannel> reader =
+        c -> {
+          try (PooledByteBuffer pooled = buffers.allocate()) {
+            ByteBuffer buffer = pooled.getBuffer();
+            while (true) {
+              buffer.clear();
+              int n = c.read(buffer);
+              if (n == 0) {
+                c.resumeReads();
+                return;
+              }
+              if (n < 0) {
+                p.finish(
+                    new Answer(
+                        response.getResponseCode(),
+                        collected.toByteArray(),
+                        p.call.codec(),
+                        wait,
+                        false),
+                    reusable);
+                return;
+              }
+              buffer.flip();
+              byte[] chunk = new byte[n];
+              buffer.get(chunk);
+              collected.write(chunk, 0, n);
+              if (collected.size() > Constants.MAX_ANSWER_BYTES) {
+                p.finish(null, false);
+                return;
+              }
+            }
+          } catch (IOException e) {
+            p.finish(null, false);
+          }
+        };
+    channel.getReadSetter().set(reader);
+    reader.handleEvent(channel);
+  }
+}
--- /dev/null
+++ b/src/main/java/fennelthread/plan/Planner.java
@@ -0,0 +1,286 @@
+package fennelthread.plan;
+
+import fennelthread.wire.JobSpec;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * Decides which task goes where: a function of the snapshot alone. A machine that has the image
+ * comes before one that must fetch it; among equals the one left fullest is taken.
+ */
+public final class Planner {
+  private static final double EPSILON = 1e-9;
+
+  private static final class Room {
+    final Snapshot.Host host;
+    double cpus;
+    double cards;
+    double memGb;
+    double comingCpus;
+    double comingCards;
+    double comingMemGb;
+    int startedImages;
+    final Set<String> fetching;
+    final Map<String, Integer> classes;
+
+    Room(Snapshot.Host host) {
+      this.host = host;
+      this.cpus = host.cpus();
+      this.cards = host.cards();
+      this.memGb = host.memGb();
+      this.fetching = new HashSet<>(host.fetching());
+      this.classes = new HashMap<>(host.classes());
+    }
+
+    boolean fits(JobSpec spec) {
+      return spec.cpus() <= cpus + EPSILON
+          && spec.cards() <= cards + EPSILON
+          && spec.memGb() <= memGb + EPSILON;
+    }
+
+    boolean willFit(JobSpec spec) {
+      return spec.cpus() <= cpus + comingCpus + EPSILON
+          && spec.cards() <= cards + comingCards + EPSILON
+          && spec.memGb() <= memGb + comingMemGb + EPSILON;
+    }
+
+    void take(JobSpec spec) {
+      cpus -= spec.cpus();
+      cards -= spec.cards();
+      memGb -= spec.memGb();
+      classes.merge(spec.jobClass(), 1, Integer::sum);
+      if (!host.images().contains(spec.image())) {
+        fetching.add(spec.image());
+      }
+    }
+  }
+
+  private final Snapshot snapshot;
+  private final List<Room> rooms = new ArrayList<>();
+  private final Map<String, Snapshot.Use> teams;
+  private final List<Plan.Start> starts = new ArrayList<>();
+  private final List<Snapshot.Running> stops = new ArrayList<>();
+  private final List<Plan.Unplaced> unplaced = new ArrayList<>();
+  private final Set<String> stopped = new HashSet<>();
+
+  private Planner(Snapshot snapshot) {
+    this.snapshot = snapshot;
+    this.teams = new HashMap<>(snapshot.teams());
+    Map<String, Room> byName = new HashMap<>();
+    for (Snapshot.Host host : snapshot.hosts()) {
+      Room room = new Room(host);
+      rooms.add(room);
+      byName.put(host.name(), room);
+    }
+    for (Snapshot.Running r : snapshot.running()) {
+      Room room = byName.get(r.machine());
+      if (r.stopping() && room != null) {
+        room.comingCpus += r.cpus();
+        room.comingCards += r.cards();
+        room.comingMemGb += r.memGb();
+      }
+    }
+  }
+
+  /** Plans one round. */
+  public static Plan plan(Snapshot snapshot) {
+    Planner planner = new Planner(snapshot);
+    planner.run();
+    return new Plan(planner.starts, planner.stops, planner.unplaced);
+  }
+
+  private void run() {
+    List<Snapshot.Need> needs = new ArrayList<>(snapshot.needs());
+    needs.sort(
+        Comparator.<Snapshot.Need>comparingInt(n -> n.spec().priority().ordinal())
+            .thenComparing(n -> !n.withinGuarantee())
+            .thenComparingDouble(Snapshot.Need::slackS)
+            .thenComparingLong(Snapshot.Need::order));
+    for (Snapshot.Need need : needs) {
+      place(need);
+    }
+  }
+
+  private void place(Snapshot.Need need) {
+    JobSpec spec = need.spec();
+    Map<String, Integer> zones = new HashMap<>(need.zones());
+    int missing = 0;
+    for (int task : need.tasks()) {
+      Snapshot.Use use = teams.get(spec.team());
+      if (use == null || !use.allows(spec.cpus(), spec.cards())) {
+        break;
+      }
+      Room best = null;
+      if (missing == 0 && starts.size() < snapshot.mostStarts()) {
+        best = bestRoom(need, zones);
+      }
+      if (best != null) {
+        best.take(spec);
+        starts.add(new Plan.Start(spec, task, best.host.name()));
+      } else {
+        missing++;
+        if (starts.size() < snapshot.mostStarts()) {
+          makeRoom(need, zones);
+        }
+      }
+      // A task without a place yet is counted too: rooms asked for must not exceed the cap.
+      teams.put(spec.team(), use.plus(spec.cpus(), spec.cards()));
+      if (best != null) {
+        zones.merge(best.host.zone(), 1, Integer::sum);
+      }
+    }
+    if (missing > 0) {
+      unplaced.add(new Plan.Unplaced(spec, missing));
+    }
+  }
+
+  /** True if the job's own rules let a task of it start there now. */
+  static boolean allowed(JobSpec spec, Map<String, Integer> zones, Snapshot.Host host) {
+    if (spec.types() != null && !spec.types().contains(host.type())) {
+      return false;
+    }
+    if (spec.zone() != null && !spec.zone().equals(host.zone())) {
+      return false;
+    }
+    if (host.spot() && !spec.spotAllowed()) {
+      return false;
+    }
+    if (spec.onePlace()) {
+      for (Map.Entry<String, Integer> e : zones.entrySet()) {
+        if (e.getValue() > 0 && !e.getKey().equals(host.zone())) {
+          return false;
+        }
+      }
+    }
+    return !spec.apart() || zones.getOrDefault(host.zone(), 0) + 1 <= (spec.tasks() + 1) / 2;
+  }
+
+  private Room bestRoom(Snapshot.Need need, Map<String, Integer> zones) {
+    Room best = null;
+    double bestScore = 0;
+    for (Room room : rooms) {
+      if (!room.fits(need.spec()) || !allowed(need.spec(), zones, room.host)) {
+        continue;
+      }
+      double score = score(need, room);
+      if (best == null || score < bestScore) {
+        best = room;
+        bestScore = score;
+      }
+    }
+    return best;
+  }
+
+  /** Lower is better: seconds until the task would run, then how empty the machine would be left. */
+  private static double score(Snapshot.Need need, Room room) {
+    JobSpec spec = need.spec();
+    double fetch = 0;
+    if (!room.host.images().contains(spec.image())) {
+      int others = room.fetching.contains(spec.image()) ? 0 : room.fetching.size();
+      fetch = spec.imageGb() / Math.max(0.01, room.host.fetchGbPerS()) * (1 + others);
+      if (room.fetching.contains(spec.image())) {
+        fetch *= 0.6;
+      }
+    }
+    double left = (room.cpus - spec.cpus()) / Math.max(1, room.host.cpusTotal());
+    double crowd = spec.service() ? room.classes.getOrDefault(spec.jobClass(), 0) : 0;
+    double spot = spec.service() || !room.host.spot() ? 0 : -0.5;
+    return fetch * (need.waitMatters() ? 10 : 1) + crowd * 0.2 + left + spot;
+  }
+
+  /** Stops less urgent work, or borrowed work of others, where that lets this task start soon. */
+  private void makeRoom(Snapshot.Need need, Map<String, Integer> zones) {
+    JobSpec spec = need.spec();
+    for (Room room : rooms) {
+      if (allowed(spec, zones, room.host)
+          && (room.comingCpus > 0 || room.comingMemGb > 0)
+          && room.willFit(spec)) {
+        reserve(room, spec);
+        return;
+      }
+    }
+    Room best = null;
+    List<Snapshot.Running> bestVictims = null;
+    double bestCost = Double.MAX_VALUE;
+    for (Room room : rooms) {
+      if (!allowed(spec, zones, room.host)) {
+        continue;
+      }
+      List<Snapshot.Running> victims = victims(need, room);
+      if (victims == null) {
+        continue;
+      }
+      double lost = victims.stream().mapToDouble(v -> v.runS() * Math.max(1, v.cpus())).sum();
+      double cost = lost + 100 * score(need, room);
+      if (cost < bestCost) {
+        best = room;
+        bestVictims = victims;
+        bestCost = cost;
+      }
+    }
+    if (best != null) {
+      for (Snapshot.Running v : bestVictims) {
+        stopped.add(v.attemptKey());
+        stops.add(v);
+        best.comingCpus += v.cpus();
+        best.comingCards += v.cards();
+        best.comingMemGb += v.memGb();
+      }
+      reserve(best, spec);
+    }
+  }
+
+  private static void reserve(Room room, JobSpec spec) {
+    room.comingCpus -= spec.cpus();
+    room.comingCards -= spec.cards();
+    room.comingMemGb -= spec.memGb();
+  }
+
+  private List<Snapshot.Running> victims(Snapshot.Need need, Room room) {
+    JobSpec spec = need.spec();
+    List<Snapshot.Running> candidates = new ArrayList<>();
+    for (Snapshot.Running r : snapshot.running()) {
+      if (r.machine().equals(room.host.name())
+          && !r.stopping()
+          && !stopped.contains(r.attemptKey())
+          && mayStop(need, r)) {
+        candidates.add(r);
+      }
+    }
+    candidates.sort(
+        Comparator.<Snapshot.Running>comparingInt(r -> -r.priorityRank())
+            .thenComparingDouble(Snapshot.Running::runS));
+    double cpus = room.cpus + room.comingCpus;
+    double cards = room.cards + room.comingCards;
+    double mem = room.memGb + room.comingMemGb;
+    List<Snapshot.Running> victims = new ArrayList<>();
+    for (Snapshot.Running r : candidates) {
+      if (spec.cpus() <= cpus + EPSILON
+          && spec.cards() <= cards + EPSILON
+          && spec.memGb() <= mem + EPSILON) {
+        break;
+      }
+      victims.add(r);
+      cpus += r.cpus();
+      cards += r.cards();
+      mem += r.memGb();
+    }
+    boolean enough =
+        spec.cpus() <= cpus + EPSILON
+            && spec.cards() <= cards + EPSILON
+            && spec.memGb() <= mem + EPSILON;
+    return enough && !victims.isEmpty() ? victims : null;
+  }
+
+  private static boolean mayStop(Snapshot.Need need, Snapshot.Running r) {
+    if (r.priorityRank() > need.spec().priority().ordinal()) {
+      return true;
+    }
+    return need.withinGuarantee() && r.borrowed() && !r.team().equals(need.spec().team());
+  }
+}
--- /dev/null
+++ b/src/main/java/fennelthread/settings/Settings.java
@@ -0,0 +1,202 @@
+package fennelthread.settings;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.dataformat.toml.TomlMapper;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/** The platform's settings (TOML). Unknown fields are ignored, as the platform asks. */
+public record Settings(
+    String member,
+    String site,
+    String apiAddr,
+    String meshAddr,
+    List<Sibling> siblings,
+    String cloudAddr,
+    String stateAddr,
+    List<String> zones,
+    Map<String, Team> teams,
+    List<Objective> objectives,
+    Workers workers,
+    State state,
+    Cloud cloud,
+    int maxConnections) {
+
+  /** Another controller. */
+  public record Sibling(String member, String addr) {}
+
+  /** A team's guarantee and caps; a cap of 0 means that there is none. */
+  public record Team(String name, double cpus, double cpusMax, double cards, double cardsMax) {}
+
+  /** What is expected of a class of jobs; {@code jobClass} may be null. */
+  public record Objective(String kind, String jobClass, double withinS, double share) {}
+
+  /** Timing of workers. */
+  public record Workers(long reportMs, long leaseMs, long cancelMs) {}
+
+  /** Limits of the state service. */
+  public record State(double rps, double writeRps, int valueBytes, int txnOps) {}
+
+  /** Limits of the cloud. */
+  public record Cloud(double rps, long listLagMs) {}
+
+  /** True if some objective names a waiting time for the class. */
+  public boolean waitsMatter(String jobClass) {
+    for (Objective o : objectives) {
+      if (o.kind().equals("wait") && jobClass.equals(o.jobClass())) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /** True if some objective names the price. */
+  public boolean priceMatters() {
+    return objectives.stream()
+        .anyMatch(o -> o.kind().contains("price") || o.kind().contains("cost"));
+  }
+
+  /** Reads and checks a file. */
+  public static Settings load(Path file) throws SettingsException {
+    JsonNode root;
+    try {
+      root = new TomlMapper().readTree(Files.readString(file));
+    } catch (IOException e) {
+      String why = e.getMessage() == null ? e.toString() : e.getMessage().lines().findFirst().orElse("");
+      throw new SettingsException(file + ": can't be read: " + why);
+    }
+    return new Reader(file.toString(), root).settings();
+  }
+
+  private record Reader(String file, JsonNode root) {
+
+    Settings settings() throws SettingsException {
+      List<Sibling> siblings = new ArrayList<>();
+      for (JsonNode n : root.path("siblings")) {
+        siblings.add(new Sibling(text(n, "siblings.", "member"), address(n, "siblings.", "addr")));
+      }
+      JsonNode cluster = object("cluster");
+      List<String> zones = new ArrayList<>();
+      cluster.path("zones").forEach(z -> zones.add(z.asText()));
+      Map<String, Team> teams = new TreeMap<>();
+      for (JsonNode n : cluster.path("teams")) {
+        String at = "cluster.teams.";
+        Team team =
+            new Team(
+                text(n, at, "name"),
+                number(n, at, "cpus", 0, 0.0),
+                number(n, at, "cpus_max", 0, 0.0),
+                number(n, at, "gpus", 0, 0.0),
+                number(n, at, "gpus_max", 0, 0.0));
+        teams.put(team.name(), team);
+      }
+      if (teams.isEmpty()) {
+        throw wrong("cluster.teams", "is missing");
+      }
+      List<Objective> objectives = new ArrayList<>();
+      for (JsonNode n : cluster.path("objectives")) {
+        String at = "cluster.objectives.";
+        objectives.add(
+            new Objective(
+                text(n, at, "kind"),
+                n.hasNonNull("class") ? text(n, at, "class") : null,
+                number(n, at, "within_s", 0, 0.0),
+                number(n, at, "share", 0, 0.0)));
+      }
+      JsonNode workers = object(cluster, "cluster.", "workers");
+      JsonNode state = object(cluster, "cluster.", "state");
+      JsonNode cloud = object(cluster, "cluster.", "cloud");
+      JsonNode endpoints = object("endpoints");
+      JsonNode limits = cluster.path("machine_limits");
+      return new Settings(
+          text(root, "", "member"),
+          text(root, "", "site"),
+          address(root, "", "api_addr"),
+          address(root, "", "mesh_addr"),
+          List.copyOf(siblings),
+          address(endpoints, "endpoints.", "cloud"),
+          address(endpoints, "endpoints.", "state"),
+          List.copyOf(zones),
+          teams,
+          List.copyOf(objectives),
+          new Workers(
+              millis(workers, "cluster.workers.", "report_s"),
+              millis(workers, "cluster.workers.", "lease_s"),
+              millis(workers, "cluster.workers.", "cancel_s")),
+          new State(
+              number(state, "cluster.state.", "rps", 1, null),
+              number(state, "cluster.state.", "write_rps", 1, null),
+              (int) (number(state, "cluster.state.", "value_kb", 1, null) * 1024),
+              (int) number(state, "cluster.state.", "txn_ops", 2, null)),
+          new Cloud(
+              number(cloud, "cluster.cloud.", "rps", 0.01, null),
+              millis(cloud, "cluster.cloud.", "list_lag_s")),
+          (int) number(limits, "cluster.machine_limits.", "max_connections", 16, 1024.0));
+    }
+
+    private JsonNode object(String name) throws SettingsException {
+      return object(root, "", name);
+    }
+
+    private JsonNode object(JsonNode in, String at, String name) throws SettingsException {
+      JsonNode n = in.path(name);
+      if (!n.isObject()) {
+        throw wrong(at + name, n.isMissingNode() ? "is missing" : "must be a table");
+      }
+      return n;
+    }
+
+    private String text(JsonNode in, String at, String name) throws SettingsException {
+      JsonNode n = in.path(name);
+      if (n.isMissingNode()) {
+        throw wrong(at + name, "is missing");
+      }
+      if (!n.isTextual() || n.asText().isEmpty()) {
+        throw wrong(at + name, "must be text that is not empty");
+      }
+      return n.asText();
+    }
+
+    private String address(JsonNode in, String at, String name) throws SettingsException {
+      String addr = text(in, at, name);
+      int colon = addr.lastIndexOf(':');
+      try {
+        int port = Integer.parseInt(addr.substring(colon + 1));
+        if (colon > 0 && port > 0 && port < 65536) {
+          return addr;
+        }
+      } catch (NumberFormatException e) {
+        // Falls through to the one message for every malformed address.
+      }
+      throw wrong(at + name, "must be an address of the form 10.0.0.1:8080");
+    }
+
+    private double number(JsonNode in, String at, String name, double least, Double fallback)
+        throws SettingsException {
+      JsonNode n = in.path(name);
+      if (n.isMissingNode()) {
+        if (fallback != null) {
+          return fallback;
+        }
+        throw wrong(at + name, "is missing");
+      }
+      if (!n.isNumber() || !Double.isFinite(n.asDouble()) || n.asDouble() < least) {
+        throw wrong(at + name, "must be a number of at least " + least);
+      }
+      return n.asDouble();
+    }
+
+    private long millis(JsonNode in, String at, String name) throws SettingsException {
+      return Math.round(number(in, at, name, 0.001, null) * 1000);
+    }
+
+    private SettingsException wrong(String field, String why) {
+      return new SettingsException(file + ": " + field + " " + why);
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/fennelthread/state/Keys.java
@@ -0,0 +1,47 @@
+package fennelthread.state;
+
+/**
+ * Where things stand in the state service. Everything that a controller follows by watch is under
+ * one prefix; final answers are kept outside of it, so that a start reads only what still lives.
+ */
+public final class Keys {
+  /** The prefix that every controller watches. */
+  public static final String LIVE = "live/";
+
+  /** Bound to the leader's grant: who leads. */
+  public static final String LEAD = LIVE + "lead";
+
+  /** Without a grant: the highest epoch ever claimed. */
+  public static final String EPOCH = LIVE + "epoch";
+
+  /** The machine types, kept for starts during an outage of the cloud. */
+  public static final String FLAVORS = LIVE + "flavors";
+
+  /** Prefix of accepted jobs that are neither done nor withdrawn. */
+  public static final String JOB = LIVE + "job/";
+
+  /** Prefix of finished tasks, per job and chunk. */
+  public static final String FINISHED = LIVE + "finished/";
+
+  /** Prefix of round records. */
+  public static final String ROUND = LIVE + "round/";
+
+  private static final String FINAL = "final/";
+
+  private Keys() {}
+
+  /** The record of a live job. */
+  public static String job(String id) {
+    return JOB + id;
+  }
+
+  /** The record of a job that is done or withdrawn. */
+  public static String finalJob(String id) {
+    return FINAL + id;
+  }
+
+  /** One chunk of a job's finished tasks. */
+  public static String finished(String id, int chunk) {
+    return FINISHED + id + "/" + chunk;
+  }
+}
--- /dev/null
+++ b/src/main/java/fennelthread/state/Replica.java
@@ -0,0 +1,231 @@
+package fennelthread.state;
+
+import fennelthread.Constants;
+import fennelthread.net.Host;
+import fennelthread.wire.Fields;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.NavigableMap;
+import java.util.TreeMap;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * A controller's copy of everything under {@link Keys#LIVE}, followed by watch. It may be behind;
+ * whoever answers a user from it confirms revisions first.
+ */
+public final class Replica {
+  private static final Logger log = LoggerFactory.getLogger(Replica.class);
+
+  /** How far the copy is. */
+  public enum Phase {
+    LOADING,
+    FOLLOWING
+  }
+
+  /** Told of every change, after it was made; {@code value} is null for a removal. */
+  public interface Listener {
+    /** A key has changed. */
+    void changed(String key, Fields value, long revision);
+  }
+
+  private record Versioned(Fields value, long revision) {}
+
+  private final Host host;
+  private final StateClient state;
+  private final TreeMap<String, Versioned> entries = new TreeMap<>();
+  private final Map<String, Long> removed = new HashMap<>();
+  private final List<Listener> listeners = new ArrayList<>();
+  private final List<Runnable> waiters = new ArrayList<>();
+  private Phase phase = Phase.LOADING;
+  private long revision;
+  private long loadRevision;
+  private TreeMap<String, Versioned> loaded;
+
+  /** Creates an empty copy; {@link #start} fills it. */
+  public Replica(Host host, StateClient state) {
+    this.host = host;
+    this.state = state;
+  }
+
+  /** Adds a listener. */
+  public void listen(Listener listener) {
+    listeners.add(listener);
+  }
+
+  /** Begins to load and follow. */
+  public void start() {
+    moveTo(Phase.LOADING);
+    loaded = new TreeMap<>();
+    loadRevision = 0;
+    loadFrom(null);
+  }
+
+  /** True once everything was read. */
+  public boolean isReady() {
+    return phase == Phase.FOLLOWING;
+  }
+
+  /** The revision that the copy has reached. */
+  public long revision() {
+    return revision;
+  }
+
+  /** Runs {@code task} after each advance of the copy, until it says that it is done. */
+  public void onAdvance(Runnable task) {
+    waiters.add(task);
+  }
+
+  /** The value of a key, or null. */
+  public Fields get(String key) {
+    Versioned v = entries.get(key);
+    return v == null ? null : v.value;
+  }
+
+  /** The revision of a key, 0 if it does not exist here. */
+  public long revisionOf(String key) {
+    Versioned v = entries.get(key);
+    return v == null ? 0 : v.revision;
+  }
+
+  /** All keys with the prefix, in order. */
+  public NavigableMap<String, Long> keys(String prefix) {
+    TreeMap<String, Long> keys = new TreeMap<>();
+    entries
+        .subMap(prefix, true, prefix + '\uffff', false)
+        .forEach((key, v) -> keys.put(key, v.revision));
+    return keys;
+  }
+
+  /** Takes over what a transaction of ours has changed, without waiting for the watch. */
+  public void applied(Txn txn, long at) {
+    if (at <= revision) {
+      // The watch has brought this change already, and perhaps a later one that undid it: applying
+      // it again would bring a removed job back to life.
+      return;
+    }
+    txn.writeMap().forEach((key, value) -> put(key, value, at));
+    txn.removeList().forEach(key -> remove(key, at));
+  }
+
+  private void moveTo(Phase next) {
+    if (phase != next) {
+      log.debug("replica {} -> {} at {}", phase, next, revision);
+    }
+    phase = next;
+  }
+
+  private void loadFrom(String since) {
+    state.list(
+        Keys.LIVE,
+        since,
+        page -> {
+          if (page == null) {
+            retry(() -> loadFrom(since));
+            return;
+          }
+          if (loadRevision == 0) {
+            loadRevision = page.revision();
+          }
+          for (StateClient.Entry e : page.items()) {
+            loaded.put(e.key(), new Versioned(e.value(), e.revision()));
+          }
+          if (page.more() && !page.items().isEmpty()) {
+            loadFrom(page.items().get(page.items().size() - 1).key());
+            return;
+          }
+          finishLoad();
+        });
+  }
+
+  private void finishLoad() {
+    for (String key : new ArrayList<>(entries.keySet())) {
+      // Written by ourselves after the list was read: a newer revision than the list's stays.
+      if (!loaded.containsKey(key) && entries.get(key).revision <= loadRevision) {
+        remove(key, loadRevision);
+      }
+    }
+    TreeMap<String, Versioned> all = loaded;
+    loaded = null;
+    revision = Math.max(revision, loadRevision);
+    all.forEach((key, v) -> put(key, v.value, v.revision));
+    moveTo(Phase.FOLLOWING);
+    advanced();
+    follow(loadRevision);
+  }
+
+  private void follow(long since) {
+    long openedAt = host.nowMs();
+    state.watch(
+        Keys.LIVE,
+        since,
+        changes -> {
+          if (changes == null) {
+            retry(() -> follow(since));
+            return;
+          }
+          if (changes.tooOld()) {
+            start();
+            return;
+          }
+          for (StateClient.Entry e : changes.log()) {
+            if (e.value() == null) {
+              remove(e.key(), e.revision());
+            } else {
+              put(e.key(), e.value(), e.revision());
+            }
+          }
+          long reached = Math.max(since, changes.revision());
+          revision = Math.max(revision, reached);
+          removed.values().removeIf(at -> at <= reached);
+          advanced();
+          long gap = Constants.WATCH_GAP_MS - (host.nowMs() - openedAt);
+          if (gap > 0) {
+            host.after(gap, () -> follow(reached));
+          } else {
+            follow(reached);
+          }
+        });
+  }
+
+  private void advanced() {
+    List<Runnable> now = new ArrayList<>(waiters);
+    waiters.clear();
+    now.forEach(Runnable::run);
+  }
+
+  private void retry(Runnable task) {
+    host.after(
+        (long) (Constants.RETRY_MS * (1 + Constants.JITTER * host.random().nextDouble())), task);
+  }
+
+  private void put(String key, Fields value, long at) {
+    if (!key.startsWith(Keys.LIVE)) {
+      return;
+    }
+    Versioned known = entries.get(key);
+    Long gone = removed.get(key);
+    if ((known != null && known.revision >= at) || (gone != null && gone >= at)) {
+      return;
+    }
+    entries.put(key, new Versioned(value, at));
+    listeners.forEach(l -> l.changed(key, value, at));
+  }
+
+  private void remove(String key, long at) {
+    if (!key.startsWith(Keys.LIVE)) {
+      return;
+    }
+    Versioned known = entries.get(key);
+    if (known != null && known.revision > at) {
+      return;
+    }
+    removed.merge(key, at, Math::max);
+    if (known != null) {
+      entries.remove(key);
+      listeners.forEach(l -> l.changed(key, null, at));
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/fennelthread/wire/JobState.java
@@ -0,0 +1,35 @@
+package fennelthread.wire;
+
+/** What users are told of a job. */
+public enum JobState {
+  PENDING("pending"),
+  RUNNING("running"),
+  DONE("done"),
+  WITHDRAWN("withdrawn");
+
+  private final String wire;
+
+  JobState(String wire) {
+    this.wire = wire;
+  }
+
+  /** The name used in messages. */
+  public String wire() {
+    return wire;
+  }
+
+  /** True once nothing about the job can change any more. */
+  public boolean isFinal() {
+    return this == DONE || this == WITHDRAWN;
+  }
+
+  /** Reads a state from a message. */
+  public static JobState of(String text) throws WireException {
+    for (JobState s : values()) {
+      if (s.wire.equals(text)) {
+        return s;
+      }
+    }
+    throw new WireException("estado", "is not a known state");
+  }
+}
