--- /dev/null
+++ b/src/test/java/fennelthread/sim/CloudStandIn.java
@@ -0,0 +1,156 @@
+package fennelthread.sim;
+
+import fennelthread.net.Answer;
+import fennelthread.net.Request;
+import fennelthread.net.Service;
+import fennelthread.wire.Codec;
+import fennelthread.wire.Fields;
+import fennelthread.wire.Flavor;
+import fennelthread.wire.HostEntry;
+import fennelthread.wire.WireException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+
+/** The cloud as its protocol describes it: lists are late, some machines never come up. */
+final class CloudStandIn implements Service {
+  static final List<Flavor> FLAVORS =
+      List.of(
+          new Flavor("mesa", 4, 0, 16, 20, 0.5, 0.3, 0.1, 6, List.of("norte", "sur")),
+          new Flavor("torre", 16, 1, 64, 40, 1, 1.5, 0.5, 9, List.of("norte", "sur")));
+
+  private final World world;
+  private final Consumer<WorkerStandIn> onWorker;
+  private final WorkerStandIn.Surroundings surroundings;
+  private final TreeMap<String, WorkerStandIn> machines = new TreeMap<>();
+  private final Map<String, List<Object>> requests = new HashMap<>();
+  private final Map<String, Integer> left = new HashMap<>();
+  private final List<List<Object>> snapshots = new ArrayList<>();
+  private boolean down;
+  private int seq;
+
+  CloudStandIn(
+      World world, WorkerStandIn.Surroundings surroundings, Consumer<WorkerStandIn> onWorker) {
+    this.world = world;
+    this.surroundings = surroundings;
+    this.onWorker = onWorker;
+    for (String zone : List.of("norte", "sur")) {
+      left.put("mesa" + zone + false, 6);
+      left.put("mesa" + zone + true, 3);
+      left.put("torre" + zone + false, 2);
+      left.put("torre" + zone + true, 1);
+    }
+    snapshot();
+  }
+
+  void outage(long forMs) {
+    down = true;
+    world.after(forMs, () -> down = false);
+  }
+
+  TreeMap<String, WorkerStandIn> machines() {
+    return machines;
+  }
+
+  WorkerStandIn rent(String type, String zone, boolean spot, long bootMs) {
+    String name = String.format("n-%06d", ++seq);
+    Flavor flavor = FLAVORS.stream().filter(f -> f.name().equals(type)).findFirst().orElseThrow();
+    WorkerStandIn worker =
+        new WorkerStandIn(world, surroundings, name, "10.1.0." + seq + ":9000", flavor, zone, spot);
+    machines.put(name, worker);
+    onWorker.accept(worker);
+    if (bootMs >= 0) {
+      world.after(bootMs, worker::boot);
+    }
+    return worker;
+  }
+
+  /** A machine is taken back, or dies. */
+  void end(WorkerStandIn worker, boolean failed) {
+    worker.end(failed);
+    if (!failed) {
+      machines.remove(worker.name());
+      left.merge(worker.flavor().name() + worker.zone() + worker.spot(), 1, Integer::sum);
+    }
+  }
+
+  private void snapshot() {
+    List<Object> list = new ArrayList<>();
+    for (WorkerStandIn w : machines.values()) {
+      list.add(
+          Fields.create()
+              .with("name_id", w.name())
+              .with("address", w.address())
+              .with("modelo", w.flavor().name())
+              .with("zona", w.zone())
+              .with("prestadas", w.spot())
+              .with(
+                  "estado",
+                  w.isFailed() ? HostEntry.FAILED : w.isUp() ? "running" : HostEntry.STARTING)
+              .with("held_s", 1.0)
+              .map());
+    }
+    snapshots.add(list);
+    if (snapshots.size() > 20) {
+      snapshots.remove(0);
+    }
+    world.after(500, this::snapshot);
+  }
+
+  @Override
+  public void handle(Request request, Consumer<Answer> reply) {
+    if (down) {
+      reply.accept(Answer.error(503, "trouble"));
+      return;
+    }
+    try {
+      String path = request.path();
+      if (path.equals("/flavors")) {
+        reply.accept(Answer.of(200, Codec.CBOR, Flavor.writeAll(FLAVORS)));
+      } else if (path.startsWith("/hosts?")) {
+        int age = 2 + world.random.nextInt(5);
+        List<Object> old = snapshots.get(Math.max(0, snapshots.size() - age));
+        reply.accept(
+            Answer.of(200, Codec.CBOR, Fields.create().with("equipos", old).with("more", false)));
+      } else if (path.equals("/hosts/return")) {
+        for (String name : Codec.CBOR.decode(request.body()).optTexts("equipos")) {
+          WorkerStandIn w = machines.get(name);
+          if (w != null) {
+            end(w, false);
+          }
+        }
+        reply.accept(Answer.of(200, Codec.CBOR, Fields.create()));
+      } else {
+        order(Codec.CBOR.decode(request.body()), reply);
+      }
+    } catch (WireException e) {
+      reply.accept(Answer.error(400, e.getMessage()));
+    }
+  }
+
+  private void order(Fields body, Consumer<Answer> reply) throws WireException {
+    String name = body.text("pedido");
+    List<Object> known = requests.get(name);
+    if (known == null) {
+      String kind = body.text("modelo") + body.text("zona") + body.optFlag("prestadas");
+      int many = (int) Math.min(body.count("how_many"), left.getOrDefault(kind, 0));
+      if (many == 0) {
+        reply.accept(Answer.error(503, "no capacity"));
+        return;
+      }
+      left.merge(kind, -many, Integer::sum);
+      known = new ArrayList<>();
+      for (int i = 0; i < many; i++) {
+        double chance = world.random.nextDouble();
+        long boot = chance < 0.05 ? -1 : chance < 0.2 ? 200 : 4_000 + world.random.nextInt(9_000);
+        known.add(
+            rent(body.text("modelo"), body.text("zona"), body.optFlag("prestadas"), boot).name());
+      }
+      requests.put(name, known);
+    }
+    reply.accept(Answer.of(200, Codec.CBOR, Fields.create().with("equipos", known)));
+  }
+}
--- /dev/null
+++ b/src/test/java/fennelthread/sim/Cluster.java
@@ -0,0 +1,361 @@
+package fennelthread.sim;
+
+import fennelthread.Controller;
+import fennelthread.net.Answer;
+import fennelthread.net.Call;
+import fennelthread.settings.Options;
+import fennelthread.settings.Settings;
+import fennelthread.wire.Codec;
+import fennelthread.wire.Fields;
+import fennelthread.wire.JobSpec;
+import fennelthread.wire.Priority;
+import fennelthread.wire.WireException;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/** Three controllers and everything around them, in one seeded world. */
+final class Cluster implements WorkerStandIn.Surroundings {
+  static final String STATE = "10.2.0.1:2379";
+  static final String CLOUD = "10.2.0.2:8443";
+
+  final World world;
+  final Rules rules;
+  final StateStandIn state;
+  final CloudStandIn cloud;
+  final Settings settings;
+  final Map<String, World.Process> processes = new TreeMap<>();
+  final Map<String, Controller> controllers = new TreeMap<>();
+  final List<JobSpec> jobs = new ArrayList<>();
+  private final World.Process users;
+  private final Map<String, String> addresses = new LinkedHashMap<>();
+  private int nextJob;
+  private boolean quiet;
+
+  Cluster(long seed) {
+    this(seed, 60);
+  }
+
+  Cluster(long seed, double teamCap) {
+    world = new World(seed);
+    for (int i = 0; i < 3; i++) {
+      addresses.put("nodo-" + i, "10.0.0." + (i + 1) + ":8080");
+    }
+    Map<String, Settings.Team> teams = new TreeMap<>();
+    teams.put("roja", new Settings.Team("roja", 24, teamCap, 2, 4));
+    teams.put("azul", new Settings.Team("azul", 16, teamCap, 0, 2));
+    settings = settingsOf("nodo-0", teams);
+    rules = new Rules(world, settings);
+    World.Process stateProcess = world.new Process("state");
+    state = new StateStandIn(world, stateProcess, 8, 8 * 1024);
+    stateProcess.listen(STATE, state);
+    world.name(STATE, "state");
+    World.Process cloudProcess = world.new Process("cloud");
+    cloud = new CloudStandIn(world, this, w -> {});
+    cloudProcess.listen(CLOUD, cloud);
+    world.name(CLOUD, "cloud");
+    users = world.new Process("users");
+    for (String member : addresses.keySet()) {
+      world.name(addresses.get(member), member);
+      world.name(meshOf(member), member);
+      start(member);
+    }
+    for (int i = 0; i < 5; i++) {
+      cloud.rent("mesa", i % 2 == 0 ? "norte" : "sur", false, 0);
+    }
+    cloud.rent("torre", "norte", false, 0);
+    world.afterEach(rules::check);
+  }
+
+  private static String meshOf(String member) {
+    return "10.0.0." + (member.charAt(member.length() - 1) - '0' + 1) + ":8081";
+  }
+
+  private static Settings settingsOf(String member, Map<String, Settings.Team> teams) {
+    List<Settings.Sibling> siblings = new ArrayList<>();
+    for (int i = 0; i < 3; i++) {
+      String other = "nodo-" + i;
+      if (!other.equals(member)) {
+        siblings.add(new Settings.Sibling(other, meshOf(other)));
+      }
+    }
+    return new Settings(
+        member,
+        "norte",
+        "10.0.0." + (member.charAt(5) - '0' + 1) + ":8080",
+        meshOf(member),
+        siblings,
+        CLOUD,
+        STATE,
+        List.of("norte", "sur"),
+        teams,
+        List.of(new Settings.Objective("wait", "servicio", 1, 0.9)),
+        new Settings.Workers(1_500, 10_000, 30_000),
+        new Settings.State(500, 200, 8 * 1024, 8),
+        new Settings.Cloud(5, 2_000),
+        500);
+  }
+
+  void start(String member) {
+    World.Process process = world.new Process(member);
+    Controller controller =
+        new Controller(process, settingsOf(member, settings.teams()), Options.DEFAULTS);
+    process.listen(addresses.get(member), controller.api());
+    process.listen(meshOf(member), controller.mesh());
+    processes.put(member, process);
+    controllers.put(member, controller);
+    controller.start();
+  }
+
+  void crash(String member, long downMs) {
+    processes.get(member).kill();
+    World.Process dead = processes.get(member);
+    world.after(
+        downMs,
+        () -> {
+          if (processes.get(member) == dead) {
+            start(member);
+          }
+        });
+  }
+
+  String leader() {
+    for (Map.Entry<String, Controller> e : controllers.entrySet()) {
+      if (processes.get(e.getKey()).alive && e.getValue().isLeading()) {
+        return e.getKey();
+      }
+    }
+    return null;
+  }
+
+  // ---------------------------------------------------------------- users
+
+  JobSpec job(boolean service, int tasks, double cpus, boolean spot, boolean onePlace, boolean apart) {
+    boolean red = world.random.nextBoolean();
+    return new JobSpec(
+        String.format("job-%06d", ++nextJob),
+        service ? "servicio" : "lote",
+        red ? "roja" : "azul",
+        service,
+        service ? Priority.CRITICAL : world.random.nextBoolean() ? Priority.URGENT : Priority.STANDARD,
+        tasks,
+        cpus,
+        0,
+        2,
+        "img-" + world.random.nextInt(4),
+        1,
+        world.random.nextInt(8) == 0 ? List.of("torre") : null,
+        world.random.nextInt(8) == 0 ? "sur" : null,
+        onePlace,
+        apart,
+        spot,
+        service ? 0 : 1 + world.random.nextInt(12),
+        0,
+        0,
+        service ? JobSpec.NO_DEADLINE : 60);
+  }
+
+  JobSpec randomJob() {
+    boolean service = world.random.nextInt(4) == 0;
+    boolean apart = world.random.nextInt(5) == 0;
+    return job(
+        service,
+        service ? 1 + world.random.nextInt(3) : 1 + world.random.nextInt(14),
+        1 + world.random.nextInt(4),
+        world.random.nextBoolean(),
+        !apart && world.random.nextInt(4) == 0,
+        apart);
+  }
+
+  void submit(JobSpec spec) {
+    rules.submits(spec);
+    jobs.add(spec);
+    submit(spec, 40);
+  }
+
+  private void submit(JobSpec spec, int tries) {
+    ask(
+        "POST",
+        "/v1/jobs",
+        Codec.CBOR.encode(spec.write()),
+        spec.id(),
+        5_000,
+        good -> {
+          if (good) {
+            poll(spec.id());
+          } else if (tries > 0) {
+            world.after(1_000, () -> submit(spec, tries - 1));
+          }
+        });
+  }
+
+  private void poll(String id) {
+    world.after(
+        2_000 + world.random.nextInt(3_000),
+        () ->
+            ask(
+                "GET",
+                "/v1/jobs/" + id,
+                null,
+                id,
+                2_000,
+                good -> {
+                  if (!rules.isOver(id) || world.random.nextInt(3) > 0) {
+                    poll(id);
+                  }
+                }));
+  }
+
+  void withdraw(String id) {
+    rules.asksToCancel(id);
+    ask(
+        "POST",
+        "/v1/jobs/" + id + "/withdraw",
+        new byte[0],
+        id,
+        5_000,
+        good -> {
+          if (!good) {
+            world.after(1_000, () -> withdraw(id));
+          }
+        });
+  }
+
+  void askUnknown() {
+    String id = "job-9" + world.random.nextInt(100_000);
+    ask("GET", "/v1/jobs/" + id, null, id, 2_000, good -> {});
+  }
+
+  private void ask(
+      String method,
+      String path,
+      byte[] body,
+      String id,
+      long timeoutMs,
+      java.util.function.Consumer<Boolean> done) {
+    List<String> all = List.copyOf(addresses.values());
+    String to = all.get(world.random.nextInt(all.size()));
+    users.call(
+        to,
+        new Call(method, path, body, Codec.CBOR),
+        timeoutMs,
+        answer -> done.accept(note(id, answer)));
+  }
+
+  private boolean note(String id, Answer answer) {
+    if (answer == null) {
+      return false;
+    }
+    if (answer.status() != 200 && answer.status() != 201) {
+      rules.refused(id, answer.status());
+      return false;
+    }
+    try {
+      Fields body = answer.fields();
+      rules.told(id, body.text("estado"));
+    } catch (WireException e) {
+      throw new AssertionError(e);
+    }
+    return true;
+  }
+
+  // ---------------------------------------------------------------- troubles
+
+  /** Users and troubles at random until {@code untilMs}. */
+  void storm(long untilMs) {
+    world.after(
+        500 + world.random.nextInt(3_000),
+        () -> {
+          if (world.now() > untilMs) {
+            return;
+          }
+          submit(randomJob());
+          if (!jobs.isEmpty() && world.random.nextInt(5) == 0) {
+            withdraw(jobs.get(world.random.nextInt(jobs.size())).id());
+          }
+          askUnknown();
+          if (world.random.nextInt(4) == 0) {
+            trouble();
+          }
+          storm(untilMs);
+        });
+  }
+
+  private void trouble() {
+    String member = "nodo-" + world.random.nextInt(3);
+    String leads = leader();
+    String busiest = leads == null ? member : leads;
+    List<WorkerStandIn> all = List.copyOf(cloud.machines().values());
+    WorkerStandIn worker = all.isEmpty() ? null : all.get(world.random.nextInt(all.size()));
+    long span = 1_000 + world.random.nextInt(20_000);
+    switch (world.random.nextInt(14)) {
+      case 0 -> crash(member, 3_000);
+      case 1 -> crash(busiest, 5_000);
+      case 2 -> List.of("nodo-0", "nodo-1", "nodo-2").forEach(m -> crash(m, span / 2));
+      case 3 -> state.outage(span);
+      case 4 -> state.refuse(busiest, span);
+      case 5 -> cloud.outage(span);
+      case 6 -> processes.get(busiest).pause(span);
+      case 7 -> world.cut(busiest, "state", span);
+      case 8 -> world.cut(busiest, "n-", span);
+      case 9 -> world.cut(member, busiest, span);
+      case 10 -> {
+        if (worker != null) {
+          world.cut(worker.name(), "nodo", span);
+        }
+      }
+      case 11 -> {
+        if (worker != null) {
+          worker.hang(span);
+        }
+      }
+      case 12 -> {
+        if (worker != null) {
+          cloud.end(worker, true);
+        }
+      }
+      default -> {
+        if (worker != null && worker.spot()) {
+          worker.notice(4_000);
+          world.after(4_000, () -> cloud.end(worker, false));
+        } else if (worker != null) {
+          worker.sicken(span);
+        }
+      }
+    }
+  }
+
+  // ---------------------------------------------------------------- surroundings
+
+  @Override
+  public Map<String, String> controllers() {
+    return addresses;
+  }
+
+  @Override
+  public JobSpec job(String id) {
+    return rules.job(id);
+  }
+
+  @Override
+  public void begins(WorkerStandIn worker, JobSpec spec, int index) {
+    rules.begins(worker, spec, index);
+  }
+
+  @Override
+  public void ends(WorkerStandIn worker, JobSpec spec, int index, boolean completed) {
+    rules.ends(worker, spec, index, completed);
+  }
+
+  @Override
+  public long reportMs() {
+    return settings.workers().reportMs();
+  }
+
+  @Override
+  public long leaseMs() {
+    return settings.workers().leaseMs();
+  }
+}
--- /dev/null
+++ b/src/test/java/fennelthread/sim/Rules.java
@@ -0,0 +1,166 @@
+package fennelthread.sim;
+
+import fennelthread.settings.Settings;
+import fennelthread.wire.JobSpec;
+import java.util.BitSet;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * The protocol's rules, checked from outside: this knows only what happened on machines and what
+ * users were told, nothing of what controllers think.
+ */
+final class Rules {
+  private final World world;
+  private final Settings settings;
+  private final Map<String, JobSpec> submitted = new HashMap<>();
+  private final Set<String> accepted = new HashSet<>();
+  private final Set<String> cancelAsked = new HashSet<>();
+  private final Map<String, Long> cancelTold = new HashMap<>();
+  private final Set<String> doneTold = new HashSet<>();
+  private final Map<String, BitSet> completed = new HashMap<>();
+  private final Map<String, WorkerStandIn> where = new HashMap<>();
+  private final Map<String, double[]> teams = new HashMap<>();
+  private final Map<String, Map<String, Integer>> zones = new HashMap<>();
+  int starts;
+
+  Rules(World world, Settings settings) {
+    this.world = world;
+    this.settings = settings;
+  }
+
+  private void broken(String rule, String what) {
+    throw new AssertionError("t=" + world.now() + " " + rule + ": " + what);
+  }
+
+  void submits(JobSpec spec) {
+    submitted.put(spec.id(), spec);
+  }
+
+  void asksToCancel(String id) {
+    cancelAsked.add(id);
+  }
+
+  JobSpec job(String id) {
+    return submitted.get(id);
+  }
+
+  boolean isAccepted(String id) {
+    return accepted.contains(id);
+  }
+
+  boolean isOver(String id) {
+    return doneTold.contains(id) || cancelTold.containsKey(id);
+  }
+
+  boolean allCompleted(String id) {
+    BitSet done = completed.get(id);
+    return done != null && done.cardinality() == submitted.get(id).tasks();
+  }
+
+  int running(String id) {
+    int n = 0;
+    for (String task : where.keySet()) {
+      n += task.startsWith(id + "/") ? 1 : 0;
+    }
+    return n;
+  }
+
+  void begins(WorkerStandIn w, JobSpec spec, int index) {
+    starts++;
+    String task = spec.id() + "/" + index;
+    WorkerStandIn other = where.put(task, w);
+    if (other != null) {
+      broken("ran_twice", task + " starts on " + w.name() + " while on " + other.name());
+    }
+    Settings.Team team = settings.teams().get(spec.team());
+    double[] used = teams.computeIfAbsent(spec.team(), k -> new double[2]);
+    used[0] += spec.cpus();
+    used[1] += spec.cards();
+    if (team.cpusMax() > 0 && used[0] > team.cpusMax() + 1e-6) {
+      broken("quota", spec.team() + " uses " + used[0]);
+    }
+    if (team.cardsMax() > 0 && used[1] > team.cardsMax() + 1e-6) {
+      broken("quota", spec.team() + " uses cards " + used[1]);
+    }
+    if (spec.types() != null && !spec.types().contains(w.flavor().name())) {
+      broken("wrong_place", task + " on type " + w.flavor().name());
+    }
+    if (spec.zone() != null && !spec.zone().equals(w.zone())) {
+      broken("wrong_place", task + " in zone " + w.zone());
+    }
+    if (w.spot() && !spec.spotAllowed()) {
+      broken("wrong_place", task + " on a spot machine");
+    }
+    Map<String, Integer> at = zones.computeIfAbsent(spec.id(), k -> new HashMap<>());
+    at.merge(w.zone(), 1, Integer::sum);
+    if (spec.onePlace() && at.values().stream().filter(n -> n > 0).count() > 1) {
+      broken("wrong_place", task + " not in its job's zone");
+    }
+    if (spec.apart() && at.get(w.zone()) > (spec.tasks() + 1) / 2) {
+      broken("wrong_place", task + " crowds zone " + w.zone());
+    }
+    Long told = cancelTold.get(spec.id());
+    if (told != null && world.now() > told + settings.workers().cancelMs()) {
+      broken("ran_cancelled", task + " starts");
+    }
+  }
+
+  void ends(WorkerStandIn w, JobSpec spec, int index, boolean done) {
+    String task = spec.id() + "/" + index;
+    where.remove(task);
+    double[] used = teams.get(spec.team());
+    used[0] -= spec.cpus();
+    used[1] -= spec.cards();
+    zones.get(spec.id()).merge(w.zone(), -1, Integer::sum);
+    if (done) {
+      completed.computeIfAbsent(spec.id(), k -> new BitSet()).set(index);
+    }
+  }
+
+  /** Checked after every event. */
+  void check() {
+    for (Map.Entry<String, Long> e : cancelTold.entrySet()) {
+      if (world.now() > e.getValue() + settings.workers().cancelMs()
+          && world.now() < e.getValue() + settings.workers().cancelMs() + 2_000
+          && running(e.getKey()) > 0) {
+        broken("ran_cancelled", e.getKey() + " is still on a machine");
+      }
+    }
+  }
+
+  /** A user was answered with 200 or 201 for a submission, a question or a withdrawal. */
+  void told(String id, String state) {
+    if (!submitted.containsKey(id)) {
+      broken("invented", id);
+    }
+    accepted.add(id);
+    if (doneTold.contains(id) && !state.equals("done")) {
+      broken("went_back", id + " from done to " + state);
+    }
+    if (cancelTold.containsKey(id) && !state.equals("withdrawn")) {
+      broken("went_back", id + " from withdrawn to " + state);
+    }
+    if (state.equals("withdrawn")) {
+      if (!cancelAsked.contains(id)) {
+        broken("went_back", id + " withdrawn by nobody");
+      }
+      cancelTold.putIfAbsent(id, world.now());
+    }
+    if (state.equals("done")) {
+      if (!allCompleted(id)) {
+        broken("not_done", id);
+      }
+      doneTold.add(id);
+    }
+  }
+
+  /** A user was answered with another status. */
+  void refused(String id, int status) {
+    if (accepted.contains(id) && (status == 404 || status == 400 || status == 422)) {
+      broken("forgotten", id + " gets " + status);
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/fennelthread/sim/StateStandIn.java
@@ -0,0 +1,293 @@
+package fennelthread.sim;
+
+import fennelthread.net.Answer;
+import fennelthread.net.Request;
+import fennelthread.net.Service;
+import fennelthread.wire.Codec;
+import fennelthread.wire.Fields;
+import fennelthread.wire.WireException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+
+/** The state service as its protocol describes it. */
+final class StateStandIn implements Service {
+  private record Item(Fields value, long revision, long grant) {}
+
+  private record Change(long revision, String key, Fields value) {}
+
+  private record Watch(String prefix, long since, Consumer<Answer> reply, boolean[] over) {}
+
+  private static final class Grant {
+    final long ttl;
+    long until;
+
+    Grant(long ttl, long until) {
+      this.ttl = ttl;
+      this.until = until;
+    }
+  }
+
+  private final World world;
+  private final World.Process process;
+  private final int txnOps;
+  private final int valueBytes;
+  private final TreeMap<String, Item> items = new TreeMap<>();
+  private final Map<Long, Grant> grants = new HashMap<>();
+  private final List<Change> log = new ArrayList<>();
+  private final List<Watch> watches = new ArrayList<>();
+  private final Set<String> refused = new HashSet<>();
+  private long revision;
+  private long nextGrant = 1;
+  private boolean down;
+
+  StateStandIn(World world, World.Process process, int txnOps, int valueBytes) {
+    this.world = world;
+    this.process = process;
+    this.txnOps = txnOps;
+    this.valueBytes = valueBytes;
+    expire();
+  }
+
+  void outage(long forMs) {
+    down = true;
+    world.after(
+        forMs,
+        () -> {
+          down = false;
+          grants.values().forEach(g -> g.until = world.now() + g.ttl);
+          serveWatches();
+        });
+  }
+
+  void refuse(String member, long forMs) {
+    refused.add(member);
+    world.after(forMs, () -> refused.remove(member));
+  }
+
+  int size() {
+    return items.size();
+  }
+
+  private void expire() {
+    if (!down) {
+      for (Long id : List.copyOf(grants.keySet())) {
+        if (world.now() > grants.get(id).until) {
+          end(id);
+        }
+      }
+    }
+    world.after(20, this::expire);
+  }
+
+  private void end(long id) {
+    grants.remove(id);
+    List<String> gone = new ArrayList<>();
+    items.forEach(
+        (key, item) -> {
+          if (item.grant == id) {
+            gone.add(key);
+          }
+        });
+    if (!gone.isEmpty()) {
+      revision++;
+      for (String key : gone) {
+        items.remove(key);
+        log.add(new Change(revision, key, null));
+      }
+      serveWatches();
+    }
+  }
+
+  @Override
+  public void handle(Request request, Consumer<Answer> reply) {
+    String path = request.path();
+    if (down || refused.contains(process.caller)) {
+      reply.accept(Answer.error(503, "trouble"));
+      return;
+    }
+    try {
+      if (path.startsWith("/keys/")) {
+        get(path.substring("/keys/".length()), reply);
+      } else if (path.startsWith("/keys?")) {
+        list(query(path), reply);
+      } else if (path.startsWith("/watch?")) {
+        watch(query(path), reply);
+      } else if (path.equals("/multi")) {
+        multi(Codec.CBOR.decode(request.body()), reply);
+      } else if (path.equals("/grants")) {
+        long ttl = Codec.CBOR.decode(request.body()).count("ttl_ms");
+        grants.put(nextGrant, new Grant(ttl, world.now() + ttl));
+        reply.accept(Answer.of(200, Codec.CBOR, Fields.create().with("permiso", nextGrant++)));
+      } else if (path.startsWith("/grants/")) {
+        String rest = path.substring("/grants/".length());
+        boolean extend = rest.endsWith("/extend");
+        long id = Long.parseLong(extend ? rest.substring(0, rest.length() - 7) : rest);
+        Grant grant = grants.get(id);
+        if (grant == null) {
+          reply.accept(Answer.error(404, "no such lease"));
+        } else {
+          if (extend) {
+            grant.until = world.now() + grant.ttl;
+          } else {
+            end(id);
+          }
+          reply.accept(Answer.of(200, Codec.CBOR, Fields.create().with("permiso", id)));
+        }
+      } else {
+        reply.accept(Answer.error(404, "path"));
+      }
+    } catch (WireException e) {
+      reply.accept(Answer.error(400, e.getMessage()));
+    }
+  }
+
+  private static Map<String, String> query(String path) {
+    Map<String, String> query = new HashMap<>();
+    for (String part : path.substring(path.indexOf('?') + 1).split("&")) {
+      int eq = part.indexOf('=');
+      query.put(part.substring(0, eq), part.substring(eq + 1));
+    }
+    return query;
+  }
+
+  private void get(String key, Consumer<Answer> reply) {
+    Item item = items.get(key);
+    if (item == null) {
+      reply.accept(Answer.of(404, Codec.CBOR, Fields.create().with("asiento", revision)));
+      return;
+    }
+    reply.accept(
+        Answer.of(
+            200,
+            Codec.CBOR,
+            Fields.create()
+                .with("key", key)
+                .with("v", item.value.map())
+                .with("edicion", item.revision)
+                .with("permiso", item.grant == 0 ? null : (Object) item.grant)));
+  }
+
+  private void list(Map<String, String> query, Consumer<Answer> reply) {
+    String prefix = query.get("under");
+    String since = query.getOrDefault("since", "");
+    int most = Integer.parseInt(query.getOrDefault("most", "1000"));
+    List<Object> found = new ArrayList<>();
+    boolean more = false;
+    for (Map.Entry<String, Item> e : items.entrySet()) {
+      if (e.getKey().startsWith(prefix) && e.getKey().compareTo(since) > 0) {
+        if (found.size() == most) {
+          more = true;
+          break;
+        }
+        found.add(
+            Fields.create()
+                .with("key", e.getKey())
+                .with("v", e.getValue().value.map())
+                .with("edicion", e.getValue().revision)
+                .map());
+      }
+    }
+    reply.accept(
+        Answer.of(
+            200,
+            Codec.CBOR,
+            Fields.create().with("items", found).with("more", more).with("asiento", revision)));
+  }
+
+  private void multi(Fields body, Consumer<Answer> reply) throws WireException {
+    List<Object> failed = new ArrayList<>();
+    List<Fields> when = body.maps("when");
+    List<Fields> then = body.maps("then");
+    if (then.size() > txnOps || when.size() > txnOps * 4) {
+      throw new WireException("then", "too many");
+    }
+    Set<String> touched = new LinkedHashSet<>();
+    for (Fields f : then) {
+      String key = f.has("write") ? f.text("write") : f.text("remove");
+      if (!touched.add(key)) {
+        throw new WireException("then", "touches a key twice");
+      }
+      if (f.has("write") && Codec.JSON.encode(f.inner("v")).length > valueBytes) {
+        throw new WireException("v", "too large");
+      }
+      if (f.has("permiso") && !grants.containsKey(f.count("permiso"))) {
+        throw new WireException("permiso", "no such lease");
+      }
+    }
+    for (Fields f : when) {
+      Item item = items.get(f.text("key"));
+      if ((item == null ? 0 : item.revision) != f.count("edicion")) {
+        failed.add(f.text("key"));
+      }
+    }
+    if (!failed.isEmpty()) {
+      reply.accept(
+          Answer.of(
+              409, Codec.CBOR, Fields.create().with("failed", failed).with("asiento", revision)));
+      return;
+    }
+    if (!then.isEmpty()) {
+      revision++;
+      for (Fields f : then) {
+        if (f.has("write")) {
+          items.put(f.text("write"), new Item(f.inner("v"), revision, f.count("permiso", 0)));
+          log.add(new Change(revision, f.text("write"), f.inner("v")));
+        } else if (items.remove(f.text("remove")) != null) {
+          log.add(new Change(revision, f.text("remove"), null));
+        }
+      }
+    }
+    reply.accept(Answer.of(200, Codec.CBOR, Fields.create().with("asiento", revision)));
+    serveWatches();
+  }
+
+  private void watch(Map<String, String> query, Consumer<Answer> reply) {
+    long since = Long.parseLong(query.get("since"));
+    if (log.size() > 10_000 && log.get(log.size() - 10_000).revision > since) {
+      reply.accept(Answer.error(410, "too old"));
+      return;
+    }
+    Watch watch = new Watch(query.get("under"), since, reply, new boolean[1]);
+    watches.add(watch);
+    world.after(Long.parseLong(query.get("hold_ms")), () -> answer(watch, true));
+    serveWatches();
+  }
+
+  private void serveWatches() {
+    if (!down) {
+      List.copyOf(watches).forEach(w -> answer(w, false));
+    }
+  }
+
+  private void answer(Watch watch, boolean timeIsUp) {
+    if (watch.over[0] || down) {
+      return;
+    }
+    List<Object> changes = new ArrayList<>();
+    for (int i = log.size() - 1; i >= 0 && log.get(i).revision > watch.since; i--) {
+      Change c = log.get(i);
+      if (c.key.startsWith(watch.prefix)) {
+        Fields f = Fields.create().with(c.value == null ? "remove" : "write", c.key);
+        if (c.value != null) {
+          f.with("v", c.value.map());
+        }
+        changes.add(0, f.with("edicion", c.revision).map());
+      }
+    }
+    if (changes.isEmpty() && !timeIsUp) {
+      return;
+    }
+    watch.over[0] = true;
+    watches.remove(watch);
+    watch.reply.accept(
+        Answer.of(
+            200, Codec.CBOR, Fields.create().with("asiento", revision).with("log", changes)));
+  }
+}
--- /dev/null
+++ b/src/test/java/fennelthread/sim/WorkerStandIn.java
@@ -0,0 +1,414 @@
+package fennelthread.sim;
+
+import fennelthread.net.Answer;
+import fennelthread.net.Call;
+import fennelthread.net.Request;
+import fennelthread.net.Service;
+import fennelthread.wire.Beat;
+import fennelthread.wire.Codec;
+import fennelthread.wire.Fields;
+import fennelthread.wire.Flavor;
+import fennelthread.wire.JobSpec;
+import fennelthread.wire.Order;
+import fennelthread.wire.TaskRef;
+import fennelthread.wire.WireException;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+
+/** A machine's worker as the protocol describes it: sessions, leases, tokens, commands. */
+final class WorkerStandIn implements Service {
+
+  /** What a worker meets. */
+  interface Surroundings {
+    /** The controllers' addresses, by member. */
+    Map<String, String> controllers();
+
+    /** A submitted job's description, or null. */
+    JobSpec job(String id);
+
+    /** A task is on the machine from now on. */
+    void begins(WorkerStandIn worker, JobSpec spec, int index);
+
+    /** A task is no longer on the machine. */
+    void ends(WorkerStandIn worker, JobSpec spec, int index, boolean completed);
+
+    long reportMs();
+
+    long leaseMs();
+  }
+
+  private static final class Task {
+    final TaskRef ref;
+    final long attempt;
+    final JobSpec spec;
+    Beat.Phase phase = Beat.Phase.FETCHING;
+    Beat.Motive motive;
+    boolean present;
+
+    Task(TaskRef ref, long attempt, JobSpec spec) {
+      this.ref = ref;
+      this.attempt = attempt;
+      this.spec = spec;
+    }
+  }
+
+  private final World world;
+  private final Surroundings around;
+  private final String name;
+  private final String address;
+  private final Flavor flavor;
+  private final String zone;
+  private final boolean spot;
+  private final Map<String, Task> tasks = new LinkedHashMap<>();
+  private final Set<String> completed = new HashSet<>();
+  private World.Process process;
+  private long session;
+  private long seq;
+  private long token;
+  private long leaseFrom;
+  private long noticeAt = -1;
+  private long hungUntil;
+  private boolean up;
+  private boolean failed;
+  private boolean sick;
+  private int node;
+  private long epochOfLife;
+  private long lastSentAt;
+  private boolean inFlight;
+
+  WorkerStandIn(
+      World world,
+      Surroundings around,
+      String name,
+      String address,
+      Flavor flavor,
+      String zone,
+      boolean spot) {
+    this.world = world;
+    this.around = around;
+    this.name = name;
+    this.address = address;
+    this.flavor = flavor;
+    this.zone = zone;
+    this.spot = spot;
+    world.name(address, name);
+  }
+
+  String name() {
+    return name;
+  }
+
+  String address() {
+    return address;
+  }
+
+  Flavor flavor() {
+    return flavor;
+  }
+
+  String zone() {
+    return zone;
+  }
+
+  boolean spot() {
+    return spot;
+  }
+
+  boolean isUp() {
+    return up;
+  }
+
+  boolean isFailed() {
+    return failed;
+  }
+
+  void boot() {
+    if (up || failed || epochOfLife < 0) {
+      return;
+    }
+    up = true;
+    process = world.new Process(name);
+    process.listen(address, this);
+    node = world.random.nextInt(around.controllers().size());
+    newSession();
+    report();
+    checkLease();
+  }
+
+  /** The machine is gone with all that is on it. */
+  void end(boolean asFailed) {
+    failed = asFailed;
+    epochOfLife = -1;
+    if (up) {
+      up = false;
+      process.kill();
+      killAll();
+    }
+  }
+
+  void notice(long inMs) {
+    noticeAt = world.now() + inMs;
+    changed();
+  }
+
+  void sicken(long forMs) {
+    sick = true;
+    world.after(forMs, () -> sick = false);
+  }
+
+  /** The machine hangs: nothing is executed, no timer runs, until it goes on or its lease is over. */
+  void hang(long forMs) {
+    if (up) {
+      process.pause(forMs);
+      hungUntil = world.now() + forMs;
+    }
+  }
+
+  private void newSession() {
+    session++;
+    leaseFrom = world.now();
+  }
+
+  private void killAll() {
+    for (Task t : List.copyOf(tasks.values())) {
+      leave(t, false);
+    }
+    tasks.clear();
+  }
+
+  private void leave(Task t, boolean done) {
+    if (t.present) {
+      t.present = false;
+      around.ends(this, t.spec, t.ref.index(), done);
+    }
+  }
+
+  private void checkLease() {
+    if (!up) {
+      return;
+    }
+    if (world.now() - leaseFrom > around.leaseMs()) {
+      killAll();
+      newSession();
+      changed();
+    }
+    world.after(50, this::checkLease);
+  }
+
+  private void changed() {
+    if (up) {
+      process.after(Math.max(0, lastSentAt + 500 - world.now()), this::reportIfIdle);
+    }
+  }
+
+  private void reportIfIdle() {
+    if (!inFlight && world.now() - lastSentAt >= 500) {
+      send();
+    }
+  }
+
+  private void report() {
+    if (!up) {
+      return;
+    }
+    long pause = (long) (around.reportMs() * (0.75 + 0.5 * world.random.nextDouble()));
+    process.after(pause, this::report);
+    if (!inFlight) {
+      send();
+    }
+  }
+
+  private void send() {
+    inFlight = true;
+    lastSentAt = world.now();
+    long sentAt = lastSentAt;
+    long sentSession = session;
+    List<String> members = List.copyOf(around.controllers().keySet());
+    String member = members.get(node % members.size());
+    process.call(
+        around.controllers().get(member),
+        Call.post("/agent/beat", Codec.CBOR, beat().write()),
+        4_000,
+        answer -> {
+          inFlight = false;
+          answered(answer, member, members, sentAt, sentSession);
+        });
+  }
+
+  private void answered(
+      Answer answer, String member, List<String> members, long sentAt, long sentSession) {
+    try {
+      if (answer != null && answer.status() == 200) {
+        Fields body = answer.fields();
+        if (sentSession != session || !body.has("ficha") || body.count("ficha") < token) {
+          return;
+        }
+        raise(body.count("ficha"));
+        leaseFrom = Math.max(leaseFrom, sentAt);
+        Order.read(body).forEach(this::execute);
+        return;
+      }
+      if (answer != null && answer.status() == 421) {
+        String to = answer.fields().optText("informar_a");
+        int index = to == null ? -1 : members.indexOf(to);
+        if (index >= 0 && !to.equals(member)) {
+          node = index;
+          process.after(world.random.nextInt(500), this::reportSoon);
+          return;
+        }
+      }
+    } catch (WireException e) {
+      throw new AssertionError("a controller's answer can't be read", e);
+    }
+    node++;
+    process.after(1_000, this::reportSoon);
+  }
+
+  private void reportSoon() {
+    if (!inFlight) {
+      send();
+    }
+  }
+
+  private void raise(long seen) {
+    if (seen > token) {
+      token = seen;
+      changed();
+    }
+  }
+
+  private Beat beat() {
+    List<Beat.Task> list = new ArrayList<>();
+    for (Task t : tasks.values()) {
+      list.add(new Beat.Task(t.ref, t.attempt, t.phase, t.motive, false));
+    }
+    return new Beat(
+        name,
+        address,
+        flavor.name(),
+        zone,
+        spot,
+        session,
+        ++seq,
+        token,
+        noticeAt < 0 ? Beat.NO_NOTICE : Math.max(0, (noticeAt - world.now()) / 1000.0),
+        list);
+  }
+
+  @Override
+  public void handle(Request request, Consumer<Answer> reply) {
+    if (!up) {
+      return;
+    }
+    try {
+      Fields body = Codec.CBOR.decode(request.body());
+      if (!body.has("ficha") || !body.has("turno")) {
+        reply.accept(Answer.error(400, "missing"));
+        return;
+      }
+      boolean good = body.count("ficha") >= token && body.count("turno") == session;
+      if (body.count("ficha") > token) {
+        raise(body.count("ficha"));
+      }
+      if (good) {
+        Order.read(body).forEach(this::execute);
+      }
+      reply.accept(Answer.of(good ? 200 : 409, Codec.CBOR, beat().write()));
+    } catch (WireException e) {
+      throw new AssertionError("a command can't be read", e);
+    }
+  }
+
+  private void execute(Order order) {
+    if (order instanceof Order.Run run) {
+      run(run);
+    } else if (order instanceof Order.Stop stop) {
+      Task t = tasks.get(stop.task() + "#" + stop.attempt());
+      if (t != null && t.phase != Beat.Phase.ENDED) {
+        finish(t, Beat.Motive.HALTED);
+      }
+    } else if (order instanceof Order.Clear clear) {
+      Task t = tasks.get(clear.task() + "#" + clear.attempt());
+      if (t != null && t.phase == Beat.Phase.ENDED) {
+        tasks.remove(clear.task() + "#" + clear.attempt());
+      }
+    }
+  }
+
+  private void run(Order.Run run) {
+    String key = run.task() + "#" + run.attempt();
+    if (tasks.containsKey(key)) {
+      return;
+    }
+    JobSpec spec = around.job(run.task().job());
+    Task t = new Task(run.task(), run.attempt(), spec);
+    boolean busy = false;
+    double cpus = spec == null ? 0 : spec.cpus();
+    double mem = spec == null ? 0 : spec.memGb();
+    for (Task other : tasks.values()) {
+      if (other.phase != Beat.Phase.ENDED) {
+        busy |= other.ref.equals(run.task());
+        cpus += other.spec.cpus();
+        mem += other.spec.memGb();
+      }
+    }
+    tasks.put(key, t);
+    if (spec == null || run.task().index() >= spec.tasks()) {
+      finish(t, Beat.Motive.NO_SUCH);
+    } else if (busy) {
+      finish(t, Beat.Motive.BUSY);
+    } else if (cpus > flavor.cpus() + 1e-6 || mem > flavor.memGb() + 1e-6) {
+      finish(t, Beat.Motive.FULL);
+    } else {
+      t.present = true;
+      around.begins(this, spec, t.ref.index());
+      changed();
+      process.after(200 + world.random.nextInt(1_500), () -> started(t));
+    }
+  }
+
+  private boolean isHere(Task t) {
+    return t.phase != Beat.Phase.ENDED && tasks.get(t.ref + "#" + t.attempt) == t;
+  }
+
+  private void started(Task t) {
+    if (!isHere(t)) {
+      return;
+    }
+    t.phase = Beat.Phase.RUNNING;
+    changed();
+    if (sick) {
+      process.after(300, () -> finishIfHere(t, Beat.Motive.ERROR));
+    } else if (completed.contains(t.ref.toString())) {
+      finishIfHere(t, Beat.Motive.DONE);
+    } else if (!t.spec.service()) {
+      long runMs = (long) (t.spec.estimateS() * 1000 * (0.5 + world.random.nextDouble()));
+      process.after(runMs, () -> finishIfHere(t, Beat.Motive.DONE));
+    }
+  }
+
+  private void finishIfHere(Task t, Beat.Motive motive) {
+    if (isHere(t)) {
+      finish(t, motive);
+    }
+  }
+
+  private void finish(Task t, Beat.Motive motive) {
+    t.phase = Beat.Phase.ENDED;
+    t.motive = motive;
+    if (motive == Beat.Motive.DONE) {
+      completed.add(t.ref.toString());
+    }
+    leave(t, motive == Beat.Motive.DONE);
+    changed();
+  }
+
+  boolean isHung() {
+    return world.now() < hungUntil;
+  }
+}
--- /dev/null
+++ b/src/test/java/fennelthread/sim/World.java
@@ -0,0 +1,265 @@
+package fennelthread.sim;
+
+import fennelthread.net.Answer;
+import fennelthread.net.Call;
+import fennelthread.net.Host;
+import fennelthread.net.Request;
+import fennelthread.net.Service;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+
+/** Simulated time, processes and a network that delays, loses, holds back and delivers late. */
+final class World {
+  private record Event(long at, long seq, Runnable task) {}
+
+  private final PriorityQueue<Event> events =
+      new PriorityQueue<>(
+          (a, b) -> a.at != b.at ? Long.compare(a.at, b.at) : Long.compare(a.seq, b.seq));
+  private final Map<String, Process> byAddress = new HashMap<>();
+  private final Set<String> cuts = new HashSet<>();
+  private final Map<String, List<Runnable>> held = new HashMap<>();
+  private final List<Runnable> afterEach = new ArrayList<>();
+  final SplittableRandom random;
+  double loss = 0.002;
+  double late = 0.001;
+  private long now;
+  private long seq;
+
+  World(long seed) {
+    random = new SplittableRandom(seed);
+  }
+
+  long now() {
+    return now;
+  }
+
+  void at(long time, Runnable task) {
+    events.add(new Event(Math.max(now, time), seq++, task));
+  }
+
+  void after(long delay, Runnable task) {
+    at(now + delay, task);
+  }
+
+  /** Called after each event: where the rules are checked. */
+  void afterEach(Runnable check) {
+    afterEach.add(check);
+  }
+
+  void runUntil(long time) {
+    while (!events.isEmpty() && events.peek().at <= time) {
+      Event e = events.poll();
+      now = e.at;
+      e.task.run();
+      afterEach.forEach(Runnable::run);
+    }
+    now = time;
+  }
+
+  /** Cuts the network between two groups of names, both ways. */
+  void cut(String a, String b, long forMs) {
+    String link = a + "|" + b;
+    cuts.add(link);
+    after(
+        forMs,
+        () -> {
+          cuts.remove(link);
+          List<Runnable> packets = held.remove(link);
+          if (packets != null) {
+            packets.forEach(Runnable::run);
+          }
+        });
+  }
+
+  private String cutBetween(String from, String to) {
+    for (String link : cuts) {
+      int bar = link.indexOf('|');
+      String a = link.substring(0, bar);
+      String b = link.substring(bar + 1);
+      if ((from.startsWith(a) && to.startsWith(b)) || (from.startsWith(b) && to.startsWith(a))) {
+        return link;
+      }
+    }
+    return null;
+  }
+
+  /** Carries one packet; those on a cut link are mostly held back and delivered after it. */
+  void carry(String from, String to, Runnable deliver) {
+    String link = cutBetween(from, to);
+    if (link != null) {
+      if (random.nextDouble() < 0.7) {
+        held.computeIfAbsent(link, k -> new ArrayList<>())
+            .add(() -> after(1 + random.nextInt(20), deliver));
+      }
+      return;
+    }
+    double chance = random.nextDouble();
+    if (chance < loss) {
+      return;
+    }
+    long delay = 1 + random.nextInt(4);
+    if (chance > 1 - late) {
+      delay = 3_000 + random.nextInt(60_000);
+    }
+    after(delay, deliver);
+  }
+
+  /** One process on a machine of its own; a restart is a new process under the same name. */
+  final class Process implements Host {
+    final String name;
+    private final double drift;
+    private final long born;
+    private final List<String> addresses = new ArrayList<>();
+    private final SplittableRandom own;
+    boolean alive = true;
+    private long pausedUntil;
+
+    Process(String name) {
+      this.name = name;
+      this.drift = random.nextDouble() * 0.0005;
+      this.born = now - random.nextInt(100_000);
+      this.own = random.split();
+    }
+
+    void listen(String address, Service service) {
+      addresses.add(address);
+      byAddress.put(address, this);
+      services.put(address, service);
+    }
+
+    private final Map<String, Service> services = new HashMap<>();
+
+    void kill() {
+      alive = false;
+      addresses.forEach(a -> byAddress.remove(a, this));
+    }
+
+    /** Nothing happens in the process until then; its clocks go on. */
+    void pause(long forMs) {
+      pausedUntil = Math.max(pausedUntil, now + forMs);
+    }
+
+    private void enter(Runnable task) {
+      if (!alive) {
+        return;
+      }
+      if (now < pausedUntil) {
+        at(pausedUntil, () -> enter(task));
+        return;
+      }
+      task.run();
+    }
+
+    @Override
+    public long nowMs() {
+      return (long) ((now - born) * (1 + drift));
+    }
+
+    @Override
+    public long wallMs() {
+      return 1_800_000_000_000L + now;
+    }
+
+    @Override
+    public Cancellable after(long delayMs, Runnable task) {
+      boolean[] off = new boolean[1];
+      World.this.after(
+          Math.max(0, delayMs),
+          () ->
+              enter(
+                  () -> {
+                    if (!off[0]) {
+                      task.run();
+                    }
+                  }));
+      return () -> off[0] = true;
+    }
+
+    @Override
+    public RandomGenerator random() {
+      return own;
+    }
+
+    @Override
+    public void call(String address, Call call, long timeoutMs, Consumer<Answer> done) {
+      boolean[] over = new boolean[1];
+      after(
+          timeoutMs,
+          () -> {
+            if (!over[0]) {
+              over[0] = true;
+              done.accept(null);
+            }
+          });
+      String to = nameOf(address);
+      int question = call.path().indexOf('?');
+      carry(
+          name,
+          to,
+          () -> {
+            Process target = byAddress.get(address);
+            if (target == null) {
+              if (random.nextBoolean()) {
+                // Refused; the other half of the time, a machine without power stays silent.
+                enter(() -> finish(over, done, null));
+              }
+              return;
+            }
+            target.enter(
+                () -> {
+                  Service service = target.services.get(address);
+                  target.caller = name;
+                  service.handle(
+                      new Request(call.method(), call.path(), call.body()),
+                      answer ->
+                          carry(
+                              to,
+                              name,
+                              () ->
+                                  enter(
+                                      () ->
+                                          finish(
+                                              over,
+                                              done,
+                                              answer == null
+                                                  ? null
+                                                  : new Answer(
+                                                      answer.status(),
+                                                      answer.body(),
+                                                      call.codec(),
+                                                      answer.retryAfterS(),
+                                                      false)))));
+                });
+          });
+    }
+
+    /** Who sent the request that is being handled: for stand-ins that treat nodes differently. */
+    String caller = "";
+  }
+
+  private static void finish(boolean[] over, Consumer<Answer> done, Answer answer) {
+    if (!over[0]) {
+      over[0] = true;
+      done.accept(answer);
+    }
+  }
+
+  private final Map<String, String> names = new HashMap<>();
+
+  /** Gives an address its owner's name, for cuts; it stays when the process ends. */
+  void name(String address, String owner) {
+    names.put(address, owner);
+  }
+
+  private String nameOf(String address) {
+    return names.getOrDefault(address, address);
+  }
+}
