--- a/src/main/java/fennelthread/fleet/Attempt.java
+++ b/src/main/java/fennelthread/fleet/Attempt.java
@@ -27,7 +27,7 @@
     GONE
   }
 
-  private final RoundRecord.Start start;
+  private RoundRecord.Start start;
   private final long createdAtMs;
   private Phase phase;
   private Beat.Motive motive;
@@ -81,6 +81,14 @@
     }
   }
 
+  /**
+   * Takes over what a round record says of an attempt that a report showed first: the job may be
+   * withdrawn and unknown by now, yet its tasks still count against their team's cap.
+   */
+  void describedBy(RoundRecord.Start recorded) {
+    start = recorded;
+  }
+
   /** The key under which a machine keeps it. */
   static String key(TaskRef task, long attempt) {
     return task + "#" + attempt;
--- a/src/main/java/fennelthread/fleet/Fleet.java
+++ b/src/main/java/fennelthread/fleet/Fleet.java
@@ -120,7 +120,10 @@
   /** Takes up a start from a predecessor's round record: it may be there. */
   public void inherit(RoundRecord.Start start) {
     Machine m = learn(start.machine(), null);
-    if (m.find(start.task(), start.attempt()) == null && m.session() <= start.session()) {
+    Attempt known = m.find(start.task(), start.attempt());
+    if (known != null) {
+      known.describedBy(start);
+    } else if (m.session() <= start.session()) {
       // Sent under a predecessor's token, whichever: only a report under ours tells.
       m.add(
           new Attempt(
--- a/src/main/java/fennelthread/lead/Term.java
+++ b/src/main/java/fennelthread/lead/Term.java
@@ -264,12 +264,25 @@
           RoundRecord.Start.of(
               job.spec(), task.ref().index(), task.attempt(), m.name(), m.session());
     } else {
-      start =
-          new RoundRecord.Start(task.ref(), task.attempt(), m.name(), m.session(), "", 0, 0, 0);
+      start = recorded(m, task);
     }
     return start;
   }
 
+  /** A withdrawn job's task: its round record still says what it takes. */
+  private RoundRecord.Start recorded(Machine m, Beat.Task task) {
+    for (RoundRecord record : table.rounds().values()) {
+      for (RoundRecord.Start s : record.starts()) {
+        if (s.attempt() == task.attempt()
+            && s.task().equals(task.ref())
+            && s.machine().equals(m.name())) {
+          return s;
+        }
+      }
+    }
+    return new RoundRecord.Start(task.ref(), task.attempt(), m.name(), m.session(), "", 0, 0, 0);
+  }
+
   @Override
   public void adopted(Attempt a) {
     attach(a);
