--- a/src/main/java/fennelthread/Controller.java
+++ b/src/main/java/fennelthread/Controller.java
@@ -46,7 +46,7 @@
   private final String incarnation;
   private final Map<String, Long> beatsHeard = new LinkedHashMap<>();
   private final Map<String, String> addresses = new LinkedHashMap<>();
-  private Map<String, Flavor> flavors = Map.of();
+  private Map<String, Flavor> flavors = new LinkedHashMap<>();
   private Term term;
   private long ledSince;
   private boolean readingFlavors;
@@ -190,7 +190,7 @@
             () -> flavors,
             this::keepFlavors,
             () -> mesh.acknowledgedSince(epoch),
-            Map.copyOf(addresses));
+            new LinkedHashMap<>(addresses));
     mesh.greetAll();
   }
 
--- a/src/main/java/fennelthread/fleet/Fleet.java
+++ b/src/main/java/fennelthread/fleet/Fleet.java
@@ -195,10 +195,16 @@
       m.moveTo(Machine.Phase.REPORTING);
       listener.changed();
     }
+    if (beat.session() > m.session()) {
+      // A worker's lease also counts from the start of its session, which may have begun just now
+      // although we have known the machine for long and answered nothing yet.
+      m.answered(host.nowMs());
+    }
     long ackedBefore = m.ackedToken();
     List<Attempt> ended = m.apply(beat, host.nowMs(), task -> listener.describe(m, task));
     m.takeAdopted().forEach(listener::adopted);
     for (Attempt a : ended) {
+      log.debug("{} is over ({}), by report {}/{} token {}", a, a.motive(), beat.session(), beat.seq(), beat.token());
       listener.ended(m, a);
     }
     if (!ended.isEmpty() || laterSession || ackedBefore < m.token(epoch)) {
@@ -222,6 +228,7 @@
       orders.add(new Order.Run(a.start().task(), a.start().attempt()));
     }
     long session = attempts.get(0).start().session();
+    log.debug("{}: starts {} under token {}", m.name(), orders, token);
     host.call(
         m.address(),
         Call.post("/commands", Codec.CBOR, Order.write(token, session, orders)),
@@ -371,6 +378,7 @@
     m.forgetImages();
     // A start sent within the lease can't be executed in the session that has ended.
     List<Attempt> gone = m.dropAll();
+    gone.forEach(a -> log.debug("{} is over, by its lease", a));
     for (Attempt a : gone) {
       listener.ended(m, a);
     }
--- a/src/main/java/fennelthread/fleet/Rentals.java
+++ b/src/main/java/fennelthread/fleet/Rentals.java
@@ -12,6 +12,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -40,7 +41,7 @@
   private final Map<String, Booting> booting = new LinkedHashMap<>();
   private final Map<Kind, Long> refusedUntil = new HashMap<>();
   private final Map<Kind, Long> refusedPause = new HashMap<>();
-  private final Set<String> returning = new HashSet<>();
+  private final Set<String> returning = new LinkedHashSet<>();
   private final List<double[]> demands = new ArrayList<>();
   private Map<String, Flavor> flavors;
   private boolean closed;
--- a/src/main/java/fennelthread/jobs/JobTable.java
+++ b/src/main/java/fennelthread/jobs/JobTable.java
@@ -8,6 +8,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import org.slf4j.Logger;
@@ -29,7 +30,7 @@
   private final Object2ObjectLinkedOpenHashMap<String, Job> jobs =
       new Object2ObjectLinkedOpenHashMap<>();
   private final Map<String, Map<String, Fields>> earlyChunks = new HashMap<>();
-  private final Map<String, RoundRecord> rounds = new HashMap<>();
+  private final Map<String, RoundRecord> rounds = new LinkedHashMap<>();
   private final List<Listener> listeners = new ArrayList<>();
 
   /** Adds a listener. */
--- a/src/main/java/fennelthread/lead/Term.java
+++ b/src/main/java/fennelthread/lead/Term.java
@@ -33,6 +33,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -73,7 +74,7 @@
   private final long epoch;
   private final Map<String, Run> runs = new LinkedHashMap<>();
   private final Map<String, double[]> speedByClass = new HashMap<>();
-  private final Set<Run> dirty = new HashSet<>();
+  private final Set<Run> dirty = new LinkedHashSet<>();
   private final Set<String> attention = new HashSet<>();
   private Phase phase = Phase.CATCHING_UP;
   private boolean roundPlanned;
@@ -451,7 +452,7 @@
     }
     Plan plan = Planner.plan(snapshot());
     unplaced = plan.unplaced();
-    Set<Machine> stopOn = new HashSet<>();
+    Set<Machine> stopOn = new LinkedHashSet<>();
     for (Snapshot.Running r : plan.stops()) {
       Machine m = fleet.get(r.machine());
       for (Attempt a : m.attempts()) {
@@ -625,7 +626,7 @@
                 mem,
                 f.fetchGbPerS(),
                 f.cacheGb(),
-                Set.copyOf(m.images()),
+                new HashSet<>(m.images()),
                 fetching,
                 classes));
       }
@@ -694,8 +695,8 @@
     for (List<Attempt> attempts : run.attempts().values()) {
       for (Attempt a : attempts) {
         Machine m = fleet.get(a.start().machine());
-        if (m != null && a.mayBePresent() && m.zone() != null) {
-          zones.merge(m.zone(), 1, Integer::sum);
+        if (m != null && a.mayBePresent()) {
+          zones.merge(m.zone() == null ? Snapshot.UNKNOWN_ZONE : m.zone(), 1, Integer::sum);
         }
       }
     }
--- a/src/main/java/fennelthread/plan/Planner.java
+++ b/src/main/java/fennelthread/plan/Planner.java
@@ -150,6 +150,11 @@
     if (host.spot() && !spec.spotAllowed()) {
       return false;
     }
+    if ((spec.onePlace() || spec.apart())
+        && zones.getOrDefault(Snapshot.UNKNOWN_ZONE, 0) > 0) {
+      // It may be in any zone: neither rule can be kept for sure until the machine is heard.
+      return false;
+    }
     if (spec.onePlace()) {
       for (Map.Entry<String, Integer> e : zones.entrySet()) {
         if (e.getValue() > 0 && !e.getKey().equals(host.zone())) {
--- a/src/main/java/fennelthread/plan/Snapshot.java
+++ b/src/main/java/fennelthread/plan/Snapshot.java
@@ -9,6 +9,9 @@
 public record Snapshot(
     List<Host> hosts, List<Need> needs, List<Running> running, Map<String, Use> teams, int mostStarts) {
 
+  /** Where tasks are that a predecessor started on a machine nobody has described yet. */
+  public static final String UNKNOWN_ZONE = "";
+
   /** A machine that may take tasks; amounts are what is left. */
   public record Host(
       String name,
--- a/src/test/java/fennelthread/sim/SimulationTest.java
+++ b/src/test/java/fennelthread/sim/SimulationTest.java
@@ -5,7 +5,9 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import fennelthread.wire.JobSpec;
+import java.util.List;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.condition.EnabledIfSystemProperty;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -45,6 +47,25 @@
     everythingRan(c);
   }
 
+  /** More seeds than every build needs: {@code mvn test -Dsim.from=100 -Dsim.to=400}. */
+  @Test
+  @EnabledIfSystemProperty(named = "sim.from", matches = "[0-9]+")
+  void soak() {
+    StringBuilder broken = new StringBuilder();
+    for (long seed = Long.getLong("sim.from"); seed <= Long.getLong("sim.to"); seed++) {
+      try {
+        storm(seed);
+      } catch (AssertionError | RuntimeException e) {
+        broken.append("seed ").append(seed).append(": ").append(e);
+        if (e instanceof RuntimeException) {
+          broken.append(" at ").append(List.of(e.getStackTrace()).subList(0, 3));
+        }
+        broken.append('\n');
+      }
+    }
+    assertEquals("", broken.toString());
+  }
+
   /** A job of a hundred thousand tasks is accepted, kept within the value limit, and finished. */
   @Test
   void hugeJob() {
@@ -74,7 +95,13 @@
       boolean fine = job.service() && c.rules.running(job.id()) > 0;
       if (!fine && !job.service()) {
         unfinished++;
-        which.append(job.id()).append(' ');
+        which
+            .append(job.id())
+            .append(" running ")
+            .append(c.rules.running(job.id()))
+            .append(" completed ")
+            .append(c.rules.allCompleted(job.id()))
+            .append("; ");
       }
     }
     assertEquals(0, unfinished, which.toString());
