--- a/src/main/java/fennelthread/Constants.java
+++ b/src/main/java/fennelthread/Constants.java
@@ -86,6 +86,9 @@
   /** A leader refused by the state service for this long yields if a sibling is served, ms. */
   public static final long REFUSED_ALONE_MS = 2_500;
 
+  /** After this long without an answer of the state service one is asked for, ms. */
+  public static final long SERVED_CHECK_MS = 800;
+
   /** A leader that has heard no worker for this many report intervals yields if siblings do. */
   public static final double UNHEARD_REPORTS = 3;
 
--- a/src/main/java/fennelthread/Controller.java
+++ b/src/main/java/fennelthread/Controller.java
@@ -207,11 +207,16 @@
     host.after(500, this::supervise);
     long now = host.nowMs();
     beatsHeard.values().removeIf(at -> now - at > Constants.SIBLING_SILENT_MS);
+    if (replica.isReady() && now - state.servedAtMs() > Constants.SERVED_CHECK_MS) {
+      // An open watch stays silent in an outage: siblings rely on this to tell one from a refusal
+      // that only they get.
+      state.get(Keys.EPOCH, entry -> {});
+    }
     if (!lease.isLeading()) {
       lease.consider();
       return;
     }
-    if (state.refusedForMs() > Constants.REFUSED_ALONE_MS && mesh.siblingIsServed()) {
+    if (refusedAlone()) {
       lease.stepDown("the state service refuses only us", Constants.YIELD_PAUSE_MS);
       return;
     }
@@ -255,7 +260,7 @@
         incarnation,
         lease.highestEpoch(),
         lease.isLeading(),
-        state.servedWithin(Constants.SIBLING_SILENT_MS) && state.refusedForMs() == 0,
+        host.nowMs() - state.servedAtMs(),
         beatsHeard.size(),
         term == null ? Map.of() : term.addresses());
   }
@@ -268,11 +273,12 @@
     }
   }
 
+  private boolean refusedAlone() {
+    return state.refusedForMs() > Constants.REFUSED_ALONE_MS
+        && mesh.siblingServedAfter(state.servedAtMs() + Constants.REFUSED_ALONE_MS / 2);
+  }
+
   private boolean isUp() {
-    if (!replica.isReady()) {
-      return false;
-    }
-    boolean served = state.refusedForMs() < Constants.REFUSED_ALONE_MS;
-    return served || !mesh.siblingIsServed();
+    return replica.isReady() && !refusedAlone();
   }
 }
--- a/src/main/java/fennelthread/mesh/Mesh.java
+++ b/src/main/java/fennelthread/mesh/Mesh.java
@@ -29,7 +29,7 @@
       String incarnation,
       long epoch,
       boolean leading,
-      boolean stateServed,
+      long servedAgoMs,
       long beatsHeard,
       Map<String, String> workers) {
 
@@ -39,7 +39,7 @@
           .with("incarnation", incarnation)
           .with("epoch", epoch)
           .with("leading", leading)
-          .with("state_served", stateServed)
+          .with("served_ago_ms", servedAgoMs)
           .with("beats_heard", beatsHeard)
           .with("workers", workers);
     }
@@ -58,7 +58,7 @@
           f.text("incarnation"),
           f.count("epoch"),
           f.flag("leading"),
-          f.flag("state_served"),
+          f.count("served_ago_ms"),
           f.count("beats_heard"),
           workers);
     }
@@ -185,14 +185,13 @@
     return since;
   }
 
-  /** True if some sibling heard lately says that the state service serves it. */
-  public boolean siblingIsServed() {
+  /**
+   * True if the state service has answered some sibling after {@code time}. A sibling's word that it
+   * is served is not enough: in an outage that has just begun, it may not have noticed yet.
+   */
+  public boolean siblingServedAfter(long time) {
     return peers.values().stream()
-        .anyMatch(
-            p ->
-                p.last != null
-                    && p.last.stateServed()
-                    && host.nowMs() - p.heardAt < Constants.SIBLING_SILENT_MS);
+        .anyMatch(p -> p.last != null && p.heardAt - p.last.servedAgoMs() > time);
   }
 
   /** Reports that siblings heard lately say they get and redirect. */
--- a/src/main/java/fennelthread/state/StateClient.java
+++ b/src/main/java/fennelthread/state/StateClient.java
@@ -56,9 +56,9 @@
     return lastFailAt > lastOkAt ? host.nowMs() - lastOkAt : 0;
   }
 
-  /** True if the service answered well within the given time. */
-  public boolean servedWithin(long ms) {
-    return host.nowMs() - lastOkAt <= ms;
+  /** When the service last answered well. */
+  public long servedAtMs() {
+    return lastOkAt;
   }
 
   /** Malformed answers seen so far. */
--- a/src/test/java/fennelthread/sim/Cluster.java
+++ b/src/test/java/fennelthread/sim/Cluster.java
@@ -66,6 +66,7 @@
     }
     cloud.rent("torre", "norte", false, 0);
     world.afterEach(rules::check);
+    state.onWrite.add(this::checkFence);
   }
 
   private static String meshOf(String member) {
@@ -129,6 +130,33 @@
     return null;
   }
 
+  /** Known to the stand-in alone: a round of an older epoch than the one claimed last. */
+  private void checkFence(String key) {
+    try {
+      if (key.startsWith("live/round/")
+          && Long.parseLong(key.substring("live/round/".length(), key.lastIndexOf('-')))
+              < state.epoch()) {
+        throw new AssertionError("t=" + world.now() + " written after a takeover: " + key);
+      }
+    } catch (WireException e) {
+      throw new AssertionError(e);
+    }
+  }
+
+  int withheld;
+
+  /** The next round record that a controller sends arrives so much later. */
+  void withholdRounds(String member, long byMs) {
+    state.delay =
+        (caller, body) -> {
+          if (withheld == 0 && caller.equals(member) && body.contains("live/round/")) {
+            withheld++;
+            return byMs;
+          }
+          return 0;
+        };
+  }
+
   String leaderOtherThan(String member) {
     for (Map.Entry<String, Controller> e : controllers.entrySet()) {
       if (!e.getKey().equals(member)
--- a/src/test/java/fennelthread/sim/SimulationTest.java
+++ b/src/test/java/fennelthread/sim/SimulationTest.java
@@ -100,13 +100,13 @@
     c.world.runUntil(20_000);
     String first = c.leader();
     boolean[] stalled = new boolean[1];
-    c.state.onWrite =
+    c.state.onWrite.add(
         key -> {
           if (key.startsWith("live/round/") && !stalled[0]) {
             stalled[0] = true;
             c.processes.get(first).pause(30_000);
           }
-        };
+        });
     JobSpec job = c.job(false, 6, 1, true, false, false);
     c.submit(job);
     c.world.runUntil(60_000);
@@ -155,6 +155,24 @@
     assertEquals(1, c.rules.running(job.id()));
   }
 
+  /** A round record that arrives after a takeover must not be written: all writes are fenced. */
+  @Test
+  void lateTransactionOfAnOldLeaderIsRefused() {
+    Cluster c = new Cluster(8);
+    c.world.loss = 0;
+    c.world.late = 0;
+    c.world.runUntil(20_000);
+    String first = c.leader();
+    c.withholdRounds(first, 20_000);
+    JobSpec job = c.job(false, 6, 1, true, false, false);
+    c.submit(job);
+    c.world.runUntil(22_000);
+    c.crash(first, 5_000);
+    c.world.runUntil(90_000);
+    assertEquals(1, c.withheld, "no round record was held back");
+    assertTrue(c.rules.isOver(job.id()));
+  }
+
   /** A leader that crashes is replaced before any worker's lease runs out. */
   @ParameterizedTest
   @ValueSource(longs = {31, 32, 33})
@@ -186,8 +204,11 @@
     c.submit(job);
     c.world.runUntil(40_000);
     int before = c.rules.starts;
+    String leader = c.leader();
     c.state.outage(45_000);
     c.world.runUntil(80_000);
+    // It once took the outage for a refusal that only it got, and yielded to nobody.
+    assertEquals(leader, c.leader());
     assertEquals(3, c.rules.running(job.id()));
     JobSpec later = c.job(false, 4, 1, true, false, false);
     c.submit(later);
--- a/src/test/java/fennelthread/sim/StateStandIn.java
+++ b/src/test/java/fennelthread/sim/StateStandIn.java
@@ -48,7 +48,7 @@
   private boolean down;
 
   /** Called with each key that a transaction writes, right after it was applied. */
-  java.util.function.Consumer<String> onWrite = key -> {};
+  final List<Consumer<String>> onWrite = new ArrayList<>();
 
   StateStandIn(World world, World.Process process, int txnOps, int valueBytes) {
     this.world = world;
@@ -74,8 +74,9 @@
     world.after(forMs, () -> refused.remove(member));
   }
 
-  int size() {
-    return items.size();
+  /** The epoch that was claimed last. */
+  long epoch() throws WireException {
+    return items.get("live/epoch").value.count("epoch");
   }
 
   private void expire() {
@@ -108,8 +109,25 @@
     }
   }
 
+  /** Holds a transaction back in the network for so many milliseconds. */
+  java.util.function.ToLongBiFunction<String, String> delay = (caller, body) -> 0;
+
   @Override
   public void handle(Request request, Consumer<Answer> reply) {
+    if (request.path().equals("/multi")) {
+      long hold =
+          delay.applyAsLong(
+              process.caller,
+              new String(request.body(), java.nio.charset.StandardCharsets.ISO_8859_1));
+      if (hold > 0) {
+        world.after(hold, () -> serve(request, reply));
+        return;
+      }
+    }
+    serve(request, reply);
+  }
+
+  private void serve(Request request, Consumer<Answer> reply) {
     String path = request.path();
     if (down || refused.contains(process.caller)) {
       reply.accept(Answer.error(503, "trouble"));
@@ -242,7 +260,9 @@
         if (f.has("write")) {
           items.put(f.text("write"), new Item(f.inner("v"), revision, f.count("permiso", 0)));
           log.add(new Change(revision, f.text("write"), f.inner("v")));
-          onWrite.accept(f.text("write"));
+          for (Consumer<String> c : onWrite) {
+            c.accept(f.text("write"));
+          }
         } else if (items.remove(f.text("remove")) != null) {
           log.add(new Change(revision, f.text("remove"), null));
         }
