Replicas take machines that have their image, at the cost of less urgent work

Cause: with every cached machine full, a replica went where its image had to be fetched for seconds. Ruled out: slow rounds (start commands leave within 100 ms).

--- a/src/main/java/fennelthread/plan/Planner.java
+++ b/src/main/java/fennelthread/plan/Planner.java
@@ -16,6 +16,9 @@
 public final class Planner {
   private static final double EPSILON = 1e-9;
 
+  /** What is left of a fetch under way, as a share: unknown, so a little more than the half. */
+  private static final double FETCH_LEFT = 0.6;
+
   private static final class Room {
     final Snapshot.Host host;
     double cpus;
@@ -118,6 +121,12 @@
       Room best = null;
       if (missing == 0 && starts.size() < snapshot.mostStarts()) {
         best = bestRoom(need, zones);
+        if (best != null && spec.service() && fetchSeconds(spec, best) > 1 && makeRoom(need, zones, true)) {
+          // Less urgent work leaves a machine that has the image: sooner than fetching it here.
+          best = null;
+          teams.put(spec.team(), use.plus(spec.cpus(), spec.cards()));
+          continue;
+        }
       }
       if (best != null) {
         best.take(spec);
@@ -125,7 +134,7 @@
       } else {
         missing++;
         if (starts.size() < snapshot.mostStarts()) {
-          makeRoom(need, zones);
+          makeRoom(need, zones, false);
         }
       }
       // A task without a place yet is counted too: rooms asked for must not exceed the cap.
@@ -181,39 +190,47 @@
     return best;
   }
 
+  private static double fetchSeconds(JobSpec spec, Room room) {
+    if (room.host.images().contains(spec.image())) {
+      return 0;
+    }
+    double alone = spec.imageGb() / Math.max(0.01, room.host.fetchGbPerS());
+    return room.fetching.contains(spec.image())
+        ? alone * FETCH_LEFT
+        : alone * (1 + room.fetching.size());
+  }
+
   /** Lower is better: seconds until the task would run, then how empty the machine would be left. */
   private static double score(Snapshot.Need need, Room room) {
     JobSpec spec = need.spec();
-    double fetch = 0;
-    if (!room.host.images().contains(spec.image())) {
-      int others = room.fetching.contains(spec.image()) ? 0 : room.fetching.size();
-      fetch = spec.imageGb() / Math.max(0.01, room.host.fetchGbPerS()) * (1 + others);
-      if (room.fetching.contains(spec.image())) {
-        fetch *= 0.6;
-      }
-    }
+    double fetch = fetchSeconds(spec, room);
     double left = (room.cpus - spec.cpus()) / Math.max(1, room.host.cpusTotal());
     double crowd = spec.service() ? room.classes.getOrDefault(spec.jobClass(), 0) : 0;
     double spot = spec.service() || !room.host.spot() ? 0 : -0.5;
     return fetch * (need.waitMatters() ? 10 : 1) + crowd * 0.2 + left + spot;
   }
 
-  /** Stops less urgent work, or borrowed work of others, where that lets this task start soon. */
-  private void makeRoom(Snapshot.Need need, Map<String, Integer> zones) {
+  /**
+   * Stops less urgent work, or borrowed work of others, where that lets this task start soon; only
+   * on machines that have its image, if so asked. True if room is being made.
+   */
+  private boolean makeRoom(Snapshot.Need need, Map<String, Integer> zones, boolean cachedOnly) {
     JobSpec spec = need.spec();
     for (Room room : rooms) {
       if (allowed(spec, zones, room.host)
+          && (!cachedOnly || room.host.images().contains(spec.image()))
           && (room.comingCpus > 0 || room.comingMemGb > 0)
           && room.willFit(spec)) {
         reserve(room, spec);
-        return;
+        return true;
       }
     }
     Room best = null;
     List<Snapshot.Running> bestVictims = null;
     double bestCost = Double.MAX_VALUE;
     for (Room room : rooms) {
-      if (!allowed(spec, zones, room.host)) {
+      if (!allowed(spec, zones, room.host)
+          || (cachedOnly && !room.host.images().contains(spec.image()))) {
         continue;
       }
       List<Snapshot.Running> victims = victims(need, room);
@@ -238,6 +255,7 @@
       }
       reserve(best, spec);
     }
+    return best != null;
   }
 
   private static void reserve(Room room, JobSpec spec) {
--- a/src/test/java/fennelthread/plan/PlannerTest.java
+++ b/src/test/java/fennelthread/plan/PlannerTest.java
@@ -82,6 +82,27 @@
     assertTrue(plan.starts().isEmpty());
   }
 
+  /** A replica goes where its image is, at the cost of less urgent work, not where it must wait. */
+  @Test
+  void replicasTakeTheMachineThatHasTheImage() {
+    JobSpec service =
+        new JobSpec(
+            "job-1", "servicio", "roja", true, Priority.CRITICAL, 1, 4, 0, 1, "img", 3, null, null,
+            false, false, false, 0, 0, 0, JobSpec.NO_DEADLINE);
+    Snapshot.Running low =
+        new Snapshot.Running("x", "b", "azul", 2, false, false, 4, 0, 1, 5);
+    Plan plan =
+        Planner.plan(
+            new Snapshot(
+                List.of(host("a", "z", 8, 8, null), host("b", "z", 4, 0, "img")),
+                List.of(need(service, true, 1)),
+                List.of(low),
+                teams(0),
+                10));
+    assertEquals(List.of(low), plan.stops());
+    assertTrue(plan.starts().isEmpty());
+  }
+
   @Test
   void borrowedWorkMakesRoomForAGuarantee() {
     Snapshot.Running borrowed =
