Return machines that are silent and do not answer, long before their lease is over

Now 0.4 of the lease of silence and a failed question suffice, unless many are silent at once; a refused return gives the machine back its work.

--- a/src/main/java/fennelthread/Constants.java
+++ b/src/main/java/fennelthread/Constants.java
@@ -68,12 +68,24 @@
   /** Longest wait for a worker's answer to direct commands, ms. */
   public static final long COMMAND_TIMEOUT_MS = 2_500;
 
-  /** Pause between attempts to reach a worker that has not confirmed its token, ms. */
-  public static final long PROBE_MS = 1_000;
+  /** Longest wait for a worker's answer to a question, ms: no more than a hint depends on it. */
+  public static final long PROBE_TIMEOUT_MS = 1_200;
 
   /** A worker that missed this many reports gets no new tasks until it is heard again. */
   public static final double SILENT_REPORTS = 2.5;
 
+  /** A worker silent for this many report intervals is asked directly whether it lives. */
+  public static final double SILENT_REPORTS_ALARM = 1.4;
+
+  /**
+   * A machine with tasks that is silent for this share of its lease, and does not answer directly
+   * either, is returned: sooner might hit a machine that only stutters, later costs its replicas.
+   */
+  public static final double SILENT_LEASE_SHARE = 0.4;
+
+  /** If more than this share of the machines is silent at once, none is returned for silence. */
+  public static final double SILENT_SHARE = 0.2;
+
   /** How often controllers greet one another, ms. */
   public static final long HAIL_MS = 700;
 
@@ -107,8 +119,8 @@
   /** How often types and prices are read, ms. */
   public static final long FLAVORS_EVERY_MS = 30_000;
 
-  /** How often the leader decides about renting, ms. */
-  public static final long RENT_EVERY_MS = 1_500;
+  /** How often the leader decides about renting and returning, ms. */
+  public static final long RENT_EVERY_MS = 700;
 
   /** First pause after a refusal for capacity, per type, zone and kind, ms. */
   public static final long REFUSED_FIRST_MS = 5_000;
--- a/src/main/java/fennelthread/fleet/Cloud.java
+++ b/src/main/java/fennelthread/fleet/Cloud.java
@@ -123,12 +123,28 @@
         });
   }
 
-  /** Returns machines: true proves that they and everything on them are gone. */
-  public void giveBack(List<String> names, Consumer<Boolean> done) {
+  /** What became of a return. */
+  public enum Returned {
+    /** The machines and everything on them are gone. */
+    GONE,
+    /** Not executed. */
+    REFUSED,
+    /** May have been executed, or may still be. */
+    UNKNOWN
+  }
+
+  /** Returns machines. */
+  public void giveBack(List<String> names, Consumer<Returned> done) {
     call(
         Call.post(
             "/hosts/return", Codec.CBOR, Fields.create().with("equipos", new ArrayList<>(names))),
-        answer -> done.accept(ok(answer)));
+        answer ->
+            done.accept(
+                ok(answer)
+                    ? Returned.GONE
+                    : answer != null && (answer.status() == 429 || answer.status() == 503)
+                        ? Returned.REFUSED
+                        : Returned.UNKNOWN));
   }
 
   private static boolean ok(Answer answer) {
--- a/src/main/java/fennelthread/fleet/Fleet.java
+++ b/src/main/java/fennelthread/fleet/Fleet.java
@@ -301,15 +301,19 @@
       return;
     }
     m.setProbing(true);
+    long sentAt = host.nowMs();
     host.call(
         m.address(),
         Call.post(
             "/commands",
             Codec.CBOR,
             Order.write(m.token(epoch), Math.max(1, m.session()), List.of())),
-        Constants.COMMAND_TIMEOUT_MS,
+        Constants.PROBE_TIMEOUT_MS,
         answer -> {
           m.setProbing(false);
+          if (answer == null) {
+            m.probeFailedSince(sentAt);
+          }
           Beat report = reportOf(answer);
           if (!closed && report != null) {
             heardDirectly(m, report);
@@ -362,7 +366,8 @@
       }
       boolean stale =
           m.ackedToken() < m.token(epoch)
-              || now - m.heardAtMs() > settings.workers().reportMs() * Constants.SILENT_REPORTS;
+              || now - m.heardAtMs()
+                  > settings.workers().reportMs() * Constants.SILENT_REPORTS_ALARM;
       if (stale) {
         probe(m);
       }
@@ -393,6 +398,14 @@
     m.moveTo(Machine.Phase.RETURNING);
   }
 
+  /** The cloud has refused to take the machine: it serves on. */
+  public void keep(Machine m) {
+    if (m.phase() == Machine.Phase.RETURNING) {
+      m.undrain();
+      m.moveTo(Machine.Phase.REPORTING);
+    }
+  }
+
   /** The cloud has confirmed that the machine and everything on it are gone. */
   public void returned(Machine m) {
     if (m.phase() == Machine.Phase.GONE) {
--- a/src/main/java/fennelthread/fleet/Machine.java
+++ b/src/main/java/fennelthread/fleet/Machine.java
@@ -51,6 +51,7 @@
   private boolean draining;
   private boolean listedFailed;
   private boolean probing;
+  private long failedProbeSentAtMs = -1;
   private long idleSinceMs;
   private final Map<String, Attempt> attempts = new LinkedHashMap<>();
   private final LinkedHashMap<String, Double> images = new LinkedHashMap<>(16, 0.75f, true);
@@ -240,6 +241,19 @@
     draining = true;
   }
 
+  void undrain() {
+    draining = false;
+  }
+
+  void probeFailedSince(long sentAtMs) {
+    failedProbeSentAtMs = sentAtMs;
+  }
+
+  /** True if it did not answer a question that was sent after it was last heard. */
+  boolean probeFailed() {
+    return failedProbeSentAtMs > heardAtMs;
+  }
+
   void setListedFailed() {
     listedFailed = true;
   }
--- a/src/main/java/fennelthread/fleet/Rentals.java
+++ b/src/main/java/fennelthread/fleet/Rentals.java
@@ -41,6 +41,7 @@
   private final Map<String, Booting> booting = new LinkedHashMap<>();
   private final Map<Kind, Long> refusedUntil = new HashMap<>();
   private final Map<Kind, Long> refusedPause = new HashMap<>();
+  private final Set<String> early = new LinkedHashSet<>();
   private final Set<String> returning = new LinkedHashSet<>();
   private final List<double[]> demands = new ArrayList<>();
   private Map<String, Flavor> flavors;
@@ -162,12 +163,46 @@
         booting.remove(m.name());
       }
     }
+    returnSilent(now);
     returnBroken(now);
     if (!cloud.isQuiet() && listedOnce && !flavors.isEmpty()) {
       rent(unplaced, now);
     }
   }
 
+  /**
+   * A machine that neither reports nor answers is most likely dead, and the cloud's answer to a
+   * return proves its tasks gone long before its lease does. Not if many are silent at once: then
+   * the fault is probably ours.
+   */
+  private void returnSilent(long now) {
+    if (cloud.isQuiet()) {
+      return;
+    }
+    List<Machine> silent = new ArrayList<>();
+    int reporting = 0;
+    for (Machine m : fleet.machines()) {
+      if (m.phase() == Machine.Phase.REPORTING) {
+        reporting++;
+        long quiet = now - m.heardAtMs();
+        if (quiet > settings.workers().reportMs() * Constants.SILENT_REPORTS_ALARM) {
+          silent.add(m);
+        }
+      }
+    }
+    if (silent.size() > Math.max(1, reporting * Constants.SILENT_SHARE)) {
+      return;
+    }
+    for (Machine m : silent) {
+      if (m.probeFailed()
+          && !m.isEmpty()
+          && now - m.heardAtMs() > settings.workers().leaseMs() * Constants.SILENT_LEASE_SHARE) {
+        early.add(m.name());
+        giveBack(m, "silent");
+      }
+    }
+  }
+
   private void returnBroken(long now) {
     for (Machine m : fleet.machines()) {
       if (m.phase() == Machine.Phase.GONE || m.phase() == Machine.Phase.RETURNING) {
@@ -215,11 +250,23 @@
     givingBack = true;
     cloud.giveBack(
         names,
-        good -> {
+        result -> {
           givingBack = false;
-          if (closed || !good) {
+          if (closed) {
+            return;
+          }
+          if (result != Cloud.Returned.GONE) {
+            if (result == Cloud.Returned.REFUSED) {
+              for (String name : names) {
+                if (early.remove(name)) {
+                  returning.remove(name);
+                  fleet.keep(fleet.get(name));
+                }
+              }
+            }
             return;
           }
+          early.removeAll(names);
           for (String name : names) {
             returning.remove(name);
             booting.remove(name);
--- a/src/test/java/fennelthread/sim/SimulationTest.java
+++ b/src/test/java/fennelthread/sim/SimulationTest.java
@@ -218,7 +218,7 @@
     assertTrue(c.rules.isOver(later.id()));
   }
 
-  /** A silent machine's tasks start elsewhere only once its lease is over. */
+  /** A dead machine's tasks start elsewhere well before its lease of 10 s would be over. */
   @Test
   void deadMachineIsReplaced() {
     Cluster c = new Cluster(35);
@@ -235,7 +235,7 @@
       }
     }
     assertTrue(c.rules.running(job.id()) < 2);
-    c.world.runUntil(60_000);
+    c.world.runUntil(48_500);
     assertEquals(2, c.rules.running(job.id()));
   }
 
