--- a/src/main/java/fennelthread/fleet/Attempt.java
+++ b/src/main/java/fennelthread/fleet/Attempt.java
@@ -3,9 +3,12 @@
 import fennelthread.jobs.RoundRecord;
 import fennelthread.wire.Beat;
 import fennelthread.wire.TaskRef;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** One attempt at a task on one machine, from its round record until it is proven gone. */
 public final class Attempt {
+  private static final Logger log = LoggerFactory.getLogger(Attempt.class);
 
   /** Where an attempt stands. All but ENDED and GONE may be running on the machine. */
   public enum Phase {
@@ -69,6 +72,7 @@
       case RUNNING -> {
         if (runningSinceMs < 0) {
           runningSinceMs = nowMs;
+          log.debug("{} runs, {} ms after its record", this, nowMs - createdAtMs);
         }
         moveTo(Phase.RUNNING);
       }
--- a/src/main/java/fennelthread/lead/Term.java
+++ b/src/main/java/fennelthread/lead/Term.java
@@ -225,6 +225,12 @@
   public void added(Job job) {
     Run run = new Run(job);
     runs.put(job.spec().id(), run);
+    log.debug(
+        "{} of {} is new: {} tasks of image {}",
+        job.spec().id(),
+        job.spec().jobClass(),
+        job.spec().tasks(),
+        job.spec().image());
     changed();
   }
 
--- a/src/main/java/fennelthread/plan/Planner.java
+++ b/src/main/java/fennelthread/plan/Planner.java
@@ -19,6 +19,12 @@
   /** What is left of a fetch under way, as a share: unknown, so a little more than the half. */
   private static final double FETCH_LEFT = 0.6;
 
+  /** What one more replica of the class on a machine with the image counts, in emptiness. */
+  private static final double CROWD_CACHED = 0.2;
+
+  /** Above any score of a machine that has the image. */
+  private static final double NOT_CACHED = 1_000;
+
   private static final class Room {
     final Snapshot.Host host;
     double cpus;
@@ -196,7 +202,7 @@
     }
     double alone = spec.imageGb() / Math.max(0.01, room.host.fetchGbPerS());
     return room.fetching.contains(spec.image())
-        ? alone * FETCH_LEFT
+        ? alone * (spec.service() ? 1 : FETCH_LEFT)
         : alone * (1 + room.fetching.size());
   }
 
@@ -205,9 +211,16 @@
     JobSpec spec = need.spec();
     double fetch = fetchSeconds(spec, room);
     double left = (room.cpus - spec.cpus()) / Math.max(1, room.host.cpusTotal());
-    double crowd = spec.service() ? room.classes.getOrDefault(spec.jobClass(), 0) : 0;
-    double spot = spec.service() || !room.host.spot() ? 0 : -0.5;
-    return fetch * (need.waitMatters() ? 10 : 1) + crowd * 0.2 + left + spot;
+    if (spec.service()) {
+      // A replica that must wait for its image anyway brings it to a machine with few others: one
+      // death then costs little, and later replicas find the image on machines with room.
+      int crowd = room.classes.getOrDefault(spec.jobClass(), 0);
+      return room.host.images().contains(spec.image())
+          ? crowd * CROWD_CACHED + left
+          : NOT_CACHED + fetch + crowd + left;
+    }
+    double spot = room.host.spot() ? -0.5 : 0;
+    return fetch * (need.waitMatters() ? 10 : 1) + left + spot;
   }
 
   /**
