--- a/src/main/java/fennelthread/plan/Planner.java
+++ b/src/main/java/fennelthread/plan/Planner.java
@@ -313,9 +313,14 @@
     return enough && !victims.isEmpty() ? victims : null;
   }
 
+  /**
+   * Only work that comes later in the order of placement may be stopped. A guarantee once stopped
+   * borrowed work of higher priority, which took the room back in the next round, over and over.
+   */
   private static boolean mayStop(Snapshot.Need need, Snapshot.Running r) {
-    if (r.priorityRank() > need.spec().priority().ordinal()) {
-      return true;
+    int rank = need.spec().priority().ordinal();
+    if (r.priorityRank() != rank) {
+      return r.priorityRank() > rank;
     }
     return need.withinGuarantee() && r.borrowed() && !r.team().equals(need.spec().team());
   }
--- a/src/test/java/fennelthread/plan/PlannerTest.java
+++ b/src/test/java/fennelthread/plan/PlannerTest.java
@@ -106,7 +106,9 @@
   @Test
   void borrowedWorkMakesRoomForAGuarantee() {
     Snapshot.Running borrowed =
-        new Snapshot.Running("x", "a", "azul", 0, true, false, 4, 0, 1, 5);
+        new Snapshot.Running("x", "a", "azul", 2, true, false, 4, 0, 1, 5);
+    Snapshot.Running urgent =
+        new Snapshot.Running("y", "a", "azul", 1, true, false, 4, 0, 1, 5);
     JobSpec spec = job("job-1", "roja", Priority.STANDARD, 1, 4);
     List<Snapshot.Host> hosts = List.of(host("a", "z", 4, 0, null));
     assertEquals(
@@ -119,6 +121,12 @@
         Planner.plan(new Snapshot(hosts, List.of(need(spec, false, 1)), List.of(borrowed), teams(0), 9))
             .stops()
             .size());
+    // Borrowed work of higher priority would be placed first and take the room back.
+    assertEquals(
+        0,
+        Planner.plan(new Snapshot(hosts, List.of(need(spec, true, 1)), List.of(urgent), teams(0), 9))
+            .stops()
+            .size());
   }
 
   /** Random snapshots: no plan ever breaks a cap, a machine's size or a job's place rules. */
