--- a/src/test/java/fennelthread/sim/SimulationTest.java
+++ b/src/test/java/fennelthread/sim/SimulationTest.java
@@ -94,10 +94,7 @@
    */
   @Test
   void firstLeaderComesBackAfterTakeover() {
-    Cluster c = new Cluster(7);
-    c.world.loss = 0;
-    c.world.late = 0;
-    c.world.runUntil(20_000);
+    Cluster c = calmCluster(7);
     String first = c.leader();
     boolean[] stalled = new boolean[1];
     c.state.onWrite.add(
@@ -126,10 +123,7 @@
   @ParameterizedTest
   @ValueSource(longs = {41, 42, 43})
   void silentSiblingMayKeepTasksAlive(long seed) {
-    Cluster c = new Cluster(seed);
-    c.world.loss = 0;
-    c.world.late = 0;
-    c.world.runUntil(20_000);
+    Cluster c = calmCluster(seed);
     JobSpec job = c.job(true, 1, 1, false, false, false);
     c.submit(job);
     c.world.runUntil(40_000);
@@ -158,10 +152,7 @@
   /** A round record that arrives after a takeover must not be written: all writes are fenced. */
   @Test
   void lateTransactionOfAnOldLeaderIsRefused() {
-    Cluster c = new Cluster(8);
-    c.world.loss = 0;
-    c.world.late = 0;
-    c.world.runUntil(20_000);
+    Cluster c = calmCluster(8);
     String first = c.leader();
     c.withholdRounds(first, 20_000);
     JobSpec job = c.job(false, 6, 1, true, false, false);
@@ -177,10 +168,7 @@
   @ParameterizedTest
   @ValueSource(longs = {31, 32, 33})
   void tasksSurviveTheirLeader(long seed) {
-    Cluster c = new Cluster(seed);
-    c.world.loss = 0;
-    c.world.late = 0;
-    c.world.runUntil(20_000);
+    Cluster c = calmCluster(seed);
     JobSpec job = c.job(true, 3, 1, false, false, false);
     c.submit(job);
     c.world.runUntil(40_000);
@@ -196,10 +184,7 @@
   /** Tasks live through an outage of the state service, though nothing starts meanwhile. */
   @Test
   void tasksSurviveAnOutageOfTheStateService() {
-    Cluster c = new Cluster(34);
-    c.world.loss = 0;
-    c.world.late = 0;
-    c.world.runUntil(20_000);
+    Cluster c = calmCluster(34);
     JobSpec job = c.job(true, 3, 1, false, false, false);
     c.submit(job);
     c.world.runUntil(40_000);
@@ -221,10 +206,7 @@
   /** A dead machine's tasks start elsewhere well before its lease of 10 s would be over. */
   @Test
   void deadMachineIsReplaced() {
-    Cluster c = new Cluster(35);
-    c.world.loss = 0;
-    c.world.late = 0;
-    c.world.runUntil(20_000);
+    Cluster c = calmCluster(35);
     JobSpec job = c.job(true, 2, 4, false, false, false);
     c.submit(job);
     c.world.runUntil(40_000);
@@ -239,6 +221,15 @@
     assertEquals(2, c.rules.running(job.id()));
   }
 
+  /** A cluster whose network loses and delays nothing, up and led. */
+  private static Cluster calmCluster(long seed) {
+    Cluster c = new Cluster(seed);
+    c.world.loss = 0;
+    c.world.late = 0;
+    c.world.runUntil(20_000);
+    return c;
+  }
+
   private static void everythingRan(Cluster c) {
     assertTrue(c.rules.starts > 0, "nothing ran");
     assertNotNull(c.leader());
