--- a/src/main/java/fennelthread/fleet/Attempt.java
+++ b/src/main/java/fennelthread/fleet/Attempt.java
@@ -30,6 +30,17 @@
     GONE
   }
 
+  /** What tells it from every other attempt: on the machine, and in reports. */
+  record Key(TaskRef task, long attempt) {
+    @Override
+    public int hashCode() {
+      // Attempt numbers are all but unique; hashing the names for each report would cost more.
+      return Long.hashCode(attempt) * 31 + task.index();
+    }
+  }
+
+  private final Machine machine;
+  private final Key key;
   private RoundRecord.Start start;
   private final long createdAtMs;
   private Phase phase;
@@ -38,8 +49,11 @@
   private long runningSinceMs = -1;
   private boolean stopSent;
   private boolean handled;
+  private long reportMark;
 
-  Attempt(RoundRecord.Start start, Phase phase, long token, long nowMs) {
+  Attempt(Machine machine, RoundRecord.Start start, Phase phase, long token, long nowMs) {
+    this.machine = machine;
+    this.key = new Key(start.task(), start.attempt());
     this.start = start;
     this.phase = phase;
     this.token = token;
@@ -58,7 +72,10 @@
     if (!allowed) {
       throw new IllegalStateException(this + " -> " + next);
     }
-    phase = next;
+    if (phase != next) {
+      phase = next;
+      machine.touch();
+    }
   }
 
   void sent(long underToken) {
@@ -91,15 +108,21 @@
    */
   void describedBy(RoundRecord.Start recorded) {
     start = recorded;
+    machine.touch();
   }
 
   /** The key under which a machine keeps it. */
-  static String key(TaskRef task, long attempt) {
-    return task + "#" + attempt;
+  Key key() {
+    return key;
   }
 
-  String key() {
-    return key(start.task(), start.attempt());
+  /** Notes the report that shows it. */
+  void mark(long report) {
+    reportMark = report;
+  }
+
+  boolean isMarked(long report) {
+    return reportMark == report;
   }
 
   /** What was recorded of it. */
@@ -144,7 +167,10 @@
 
   /** Notes that a stop was asked for. */
   public void stopping() {
-    stopSent = true;
+    if (!stopSent) {
+      stopSent = true;
+      machine.touch();
+    }
   }
 
   /** True once its end was taken note of. */
@@ -159,6 +185,6 @@
 
   @Override
   public String toString() {
-    return key() + "@" + start.machine() + "/" + start.session() + " " + phase;
+    return start.task() + "#" + start.attempt() + "@" + start.machine() + "/" + start.session() + " " + phase;
   }
 }
--- a/src/main/java/fennelthread/fleet/Fleet.java
+++ b/src/main/java/fennelthread/fleet/Fleet.java
@@ -127,7 +127,7 @@
       // Sent under a predecessor's token, whichever: only a report under ours tells.
       m.add(
           new Attempt(
-              start, Attempt.Phase.UNSURE, (epoch << Constants.TOKEN_BITS) - 1, host.nowMs()));
+              m, start, Attempt.Phase.UNSURE, (epoch << Constants.TOKEN_BITS) - 1, host.nowMs()));
     }
   }
 
@@ -136,6 +136,7 @@
     long number = (epoch << Constants.ATTEMPT_BITS) + ++attemptSeq;
     Attempt a =
         new Attempt(
+            m,
             RoundRecord.Start.of(spec, index, number, m.name(), m.session()),
             Attempt.Phase.RECORDED,
             m.token(epoch),
--- a/src/main/java/fennelthread/fleet/Machine.java
+++ b/src/main/java/fennelthread/fleet/Machine.java
@@ -6,7 +6,6 @@
 import fennelthread.wire.Flavor;
 import fennelthread.wire.TaskRef;
 import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -53,7 +52,9 @@
   private boolean probing;
   private long failedProbeSentAtMs = -1;
   private long idleSinceMs;
-  private final Map<String, Attempt> attempts = new LinkedHashMap<>();
+  private long version;
+  private long reports;
+  private final Map<Attempt.Key, Attempt> attempts = new LinkedHashMap<>();
   private final LinkedHashMap<String, Double> images = new LinkedHashMap<>(16, 0.75f, true);
   private final List<Attempt> adopted = new ArrayList<>();
   private final List<Failure> failures = new ArrayList<>();
@@ -74,10 +75,24 @@
   }
 
   void describe(String newType, String newZone, boolean newSpot) {
+    if (typeKnown && newType.equals(type) && newZone.equals(zone) && newSpot == spot) {
+      return;
+    }
     type = newType;
     zone = newZone;
     spot = newSpot;
     typeKnown = true;
+    touch();
+  }
+
+  /** Notes that something changed that placement looks at. */
+  public void touch() {
+    version++;
+  }
+
+  /** Rises whenever something changes that placement looks at: what was added up before is old. */
+  public long version() {
+    return version;
   }
 
   void setAddress(String newAddress) {
@@ -111,16 +126,15 @@
     ackedToken = beat.token();
     heardAtMs = now;
     noticeUntilMs = beat.noticeS() == Beat.NO_NOTICE ? -1 : now + (long) (beat.noticeS() * 1000);
-    Set<String> reported = new HashSet<>();
+    reports++;
     for (Beat.Task t : beat.tasks()) {
-      String key = Attempt.key(t.ref(), t.attempt());
-      reported.add(key);
-      Attempt a = attempts.get(key);
+      Attempt a = find(t.ref(), t.attempt());
       if (a == null) {
-        a = new Attempt(describe.apply(t), Attempt.Phase.UNSURE, 0, now);
-        attempts.put(key, a);
+        a = new Attempt(this, describe.apply(t), Attempt.Phase.UNSURE, 0, now);
+        add(a);
         adopted.add(a);
       }
+      a.mark(reports);
       if (a.phase() == Attempt.Phase.RECORDED) {
         continue;
       }
@@ -133,8 +147,9 @@
         ended.add(a);
       }
     }
-    for (Attempt a : List.copyOf(attempts.values())) {
-      if (reported.contains(a.key())) {
+    List<Attempt> absent = new ArrayList<>(0);
+    for (Attempt a : attempts.values()) {
+      if (a.isMarked(reports)) {
         continue;
       }
       boolean inFlight =
@@ -142,9 +157,10 @@
               || ((a.phase() == Attempt.Phase.SENT || a.phase() == Attempt.Phase.UNSURE)
                   && beat.token() <= a.token());
       if (!inFlight) {
-        drop(a, ended);
+        absent.add(a);
       }
     }
+    absent.forEach(a -> drop(a, ended));
     if (attempts.isEmpty()) {
       if (idleSinceMs < 0) {
         idleSinceMs = now;
@@ -158,7 +174,7 @@
   private void drop(Attempt a, List<Attempt> ended) {
     boolean wasPresent = a.mayBePresent();
     a.moveTo(Attempt.Phase.GONE);
-    attempts.remove(a.key());
+    remove(a);
     if (wasPresent) {
       ended.add(a);
     }
@@ -186,10 +202,12 @@
   void add(Attempt a) {
     attempts.put(a.key(), a);
     idleSinceMs = -1;
+    touch();
   }
 
   void remove(Attempt a) {
     attempts.remove(a.key());
+    touch();
   }
 
   boolean isNewer(Beat beat) {
@@ -198,11 +216,14 @@
 
   /** The attempt that a report speaks of, or null. */
   Attempt find(TaskRef task, long attempt) {
-    return attempts.get(Attempt.key(task, attempt));
+    return attempts.get(new Attempt.Key(task, attempt));
   }
 
   void cached(String image, double gb, Flavor flavor) {
-    images.put(image, gb);
+    if (images.put(image, gb) != null) {
+      return;
+    }
+    touch();
     double total = 0;
     for (double size : images.values()) {
       total += size;
@@ -219,6 +240,7 @@
 
   void forgetImages() {
     images.clear();
+    touch();
   }
 
   /** Notes a failed task; true if the machine, not the job, must be at fault. */
--- a/src/main/java/fennelthread/jobs/JobTable.java
+++ b/src/main/java/fennelthread/jobs/JobTable.java
@@ -6,6 +6,7 @@
 import fennelthread.wire.WireException;
 import it.unimi.dsi.fastutil.objects.Object2ObjectLinkedOpenHashMap;
 import java.util.ArrayList;
+import java.util.BitSet;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -31,6 +32,7 @@
       new Object2ObjectLinkedOpenHashMap<>();
   private final Map<String, Map<String, Fields>> earlyChunks = new HashMap<>();
   private final Map<String, RoundRecord> rounds = new LinkedHashMap<>();
+  private final Map<String, List<RoundRecord.Start>> startsByJob = new HashMap<>();
   private final List<Listener> listeners = new ArrayList<>();
 
   /** Adds a listener. */
@@ -58,16 +60,32 @@
     return rounds;
   }
 
-  /** How many tasks of a job are recorded as started and not known to be finished; for display. */
-  public int startedTasks(Job job) {
-    java.util.BitSet started = new java.util.BitSet();
-    for (RoundRecord record : rounds.values()) {
+  /** The recorded starts of a job's tasks: polls and reports ask by job. */
+  public List<RoundRecord.Start> startsOf(String job) {
+    return startsByJob.getOrDefault(job, List.of());
+  }
+
+  private void record(String key, RoundRecord record) {
+    RoundRecord known = record == null ? rounds.remove(key) : rounds.put(key, record);
+    if (known != null) {
+      for (RoundRecord.Start s : known.starts()) {
+        startsByJob.computeIfPresent(
+            s.task().job(), (job, starts) -> starts.remove(s) && starts.isEmpty() ? null : starts);
+      }
+    }
+    if (record != null) {
       for (RoundRecord.Start s : record.starts()) {
-        if (s.task().job().equals(job.spec().id())) {
-          started.set(s.task().index());
-        }
+        startsByJob.computeIfAbsent(s.task().job(), job -> new ArrayList<>()).add(s);
       }
     }
+  }
+
+  /** How many tasks of a job are recorded as started and not known to be finished; for display. */
+  public int startedTasks(Job job) {
+    BitSet started = new BitSet();
+    for (RoundRecord.Start s : startsOf(job.spec().id())) {
+      started.set(s.task().index());
+    }
     started.andNot(job.finished());
     return started.cardinality();
   }
@@ -80,11 +98,7 @@
       } else if (key.startsWith(Keys.FINISHED)) {
         changedChunk(key, value);
       } else if (key.startsWith(Keys.ROUND)) {
-        if (value == null) {
-          rounds.remove(key);
-        } else {
-          rounds.put(key, RoundRecord.read(value));
-        }
+        record(key, value == null ? null : RoundRecord.read(value));
       }
     } catch (WireException e) {
       log.error("unreadable record {}: {}", key, e.getMessage());
--- /dev/null
+++ b/src/main/java/fennelthread/lead/Load.java
@@ -0,0 +1,113 @@
+package fennelthread.lead;
+
+import fennelthread.fleet.Attempt;
+import fennelthread.fleet.Fleet;
+import fennelthread.fleet.Machine;
+import fennelthread.jobs.RoundRecord;
+import fennelthread.plan.Snapshot;
+import fennelthread.wire.Flavor;
+import fennelthread.wire.JobSpec;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Function;
+
+/**
+ * What one machine carries, added up anew only after the machine has changed: with hundreds of
+ * machines a round touches few of them, and going through all attempts for each would be most of
+ * its work.
+ */
+final class Load {
+  private long version = -1;
+  private Flavor flavor;
+  private Snapshot.Host host;
+  private final Map<String, double[]> used = new HashMap<>(4);
+
+  /** Brings it up to date; {@code specs} gives a live job's spec, or null. */
+  void update(Machine m, Flavor type, Fleet fleet, Function<String, JobSpec> specs) {
+    if (version == m.version() && flavor == type) {
+      return;
+    }
+    flavor = type;
+    used.clear();
+    double cpus = type == null ? 0 : type.cpus();
+    double cards = type == null ? 0 : type.cards();
+    double mem = type == null ? 0 : type.memGb();
+    Set<String> fetching = new HashSet<>();
+    Map<String, Integer> classes = new HashMap<>();
+    List<Snapshot.Running> running = new ArrayList<>();
+    for (Attempt a : m.attempts()) {
+      if (!a.mayBePresent()) {
+        continue;
+      }
+      RoundRecord.Start s = a.start();
+      double[] u = used.computeIfAbsent(s.team(), k -> new double[2]);
+      u[0] += s.cpus();
+      u[1] += s.cards();
+      cpus -= s.cpus();
+      cards -= s.cards();
+      mem -= s.memGb();
+      JobSpec spec = specs.apply(s.task().job());
+      if (spec == null) {
+        continue;
+      }
+      classes.merge(spec.jobClass(), 1, Integer::sum);
+      if (a.phase() == Attempt.Phase.RUNNING || a.phase() == Attempt.Phase.FLUSHING) {
+        fleet.cached(m, spec.image(), spec.imageGb());
+      } else {
+        fetching.add(spec.image());
+      }
+      if (a.phase() != Attempt.Phase.RECORDED && a.phase() != Attempt.Phase.SENT) {
+        running.add(
+            new Snapshot.Running(
+                spec,
+                s.task().index(),
+                s.attempt(),
+                m.name(),
+                a.isStopping(),
+                s.cpus(),
+                s.cards(),
+                s.memGb(),
+                a.runningSinceMs()));
+      }
+    }
+    fetching.removeAll(m.images());
+    host =
+        type == null
+            ? null
+            : new Snapshot.Host(
+                m.name(),
+                m.type(),
+                m.zone(),
+                m.spot(),
+                type.cpus(),
+                cpus,
+                cards,
+                mem,
+                type.fetchGbPerS(),
+                type.cacheGb(),
+                Set.copyOf(m.images()),
+                fetching,
+                classes,
+                running);
+    // Last: noting an image above may have changed the machine once more.
+    version = m.version();
+  }
+
+  /** The machine as placement sees it, or null if its type is not known. */
+  Snapshot.Host host() {
+    return host;
+  }
+
+  /** Adds what each team's tasks may take here. */
+  void addTo(Map<String, double[]> total) {
+    for (Map.Entry<String, double[]> e : used.entrySet()) {
+      double[] t = total.computeIfAbsent(e.getKey(), k -> new double[2]);
+      t[0] += e.getValue()[0];
+      t[1] += e.getValue()[1];
+    }
+  }
+}
--- a/src/main/java/fennelthread/lead/Run.java
+++ b/src/main/java/fennelthread/lead/Run.java
@@ -19,17 +19,29 @@
   private final Job job;
   private final BitSet finished = new BitSet();
   private final BitSet durable = new BitSet();
+  private final BitSet idle = new BitSet();
   private final Int2ObjectOpenHashMap<List<Attempt>> attempts = new Int2ObjectOpenHashMap<>();
   private final Int2LongOpenHashMap notBefore = new Int2LongOpenHashMap();
   private final Int2IntOpenHashMap refusals = new Int2IntOpenHashMap();
   private final Set<String> failedMachines = new HashSet<>();
   private final TreeSet<Integer> dirtyChunks = new TreeSet<>();
+  private final long order;
   private int failures;
+  private int unfinished;
 
-  Run(Job job) {
+  /** Creates what is known of a job; {@code order} is its place among the jobs of the term. */
+  Run(Job job, long order) {
     this.job = job;
+    this.order = order;
     finished.or(job.finished());
     durable.or(job.finished());
+    idle.set(0, job.spec().tasks());
+    idle.andNot(finished);
+    unfinished = job.spec().tasks() - finished.cardinality();
+  }
+
+  long order() {
+    return order;
   }
 
   Job job() {
@@ -42,6 +54,7 @@
     if (!list.contains(a)) {
       list.add(a);
     }
+    idle.clear(a.start().task().index());
   }
 
   void detach(Attempt a) {
@@ -51,6 +64,9 @@
       list.remove(a);
       if (list.isEmpty()) {
         attempts.remove(index);
+        if (index < job.spec().tasks() && !finished.get(index)) {
+          idle.set(index);
+        }
       }
     }
   }
@@ -62,6 +78,8 @@
   void finish(int index) {
     if (index < job.spec().tasks() && !finished.get(index)) {
       finished.set(index);
+      idle.clear(index);
+      unfinished--;
       dirtyChunks.add(index / Constants.TASKS_PER_CHUNK);
     }
   }
@@ -101,16 +119,19 @@
   }
 
   int unfinished() {
-    return job.spec().tasks() - finished.cardinality();
+    return unfinished;
+  }
+
+  /** True if some task is neither finished nor possibly anywhere; it may be paused all the same. */
+  boolean hasIdle() {
+    return !idle.isEmpty();
   }
 
   /** Tasks that may be started now: not finished, proven to be nowhere, and not paused. */
   List<Integer> pending(long now, int most) {
     List<Integer> tasks = new ArrayList<>();
-    int count = job.spec().tasks();
-    for (int i = finished.nextClearBit(0); i < count && tasks.size() < most;
-        i = finished.nextClearBit(i + 1)) {
-      if (!attempts.containsKey(i) && notBefore.get(i) <= now) {
+    for (int i = idle.nextSetBit(0); i >= 0 && tasks.size() < most; i = idle.nextSetBit(i + 1)) {
+      if (notBefore.get(i) <= now) {
         tasks.add(i);
       }
     }
--- a/src/main/java/fennelthread/lead/Term.java
+++ b/src/main/java/fennelthread/lead/Term.java
@@ -28,10 +28,12 @@
 import fennelthread.wire.JobSpec;
 import fennelthread.wire.JobState;
 import fennelthread.wire.Order;
+import fennelthread.wire.TaskRef;
 import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.IdentityHashMap;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -76,6 +78,7 @@
   private final Map<String, double[]> speedByClass = new HashMap<>();
   private final Set<Run> dirty = new LinkedHashSet<>();
   private final Set<String> attention = new HashSet<>();
+  private final Map<Machine, Load> loads = new IdentityHashMap<>();
   private Phase phase = Phase.CATCHING_UP;
   private boolean roundPlanned;
   private boolean roundRunning;
@@ -83,6 +86,7 @@
   private boolean sweeping;
   private long lastRoundAt;
   private long roundSeq;
+  private long jobSeq;
   private long pausedUntil;
   private List<Plan.Unplaced> unplaced = List.of();
 
@@ -169,7 +173,7 @@
     for (RoundRecord record : table.rounds().values()) {
       record.starts().forEach(fleet::inherit);
     }
-    table.all().forEach(job -> runs.put(job.spec().id(), new Run(job)));
+    table.all().forEach(job -> runs.put(job.spec().id(), new Run(job, ++jobSeq)));
     for (Machine m : fleet.machines()) {
       for (Attempt a : m.attempts()) {
         attach(a);
@@ -223,7 +227,7 @@
 
   @Override
   public void added(Job job) {
-    Run run = new Run(job);
+    Run run = new Run(job, ++jobSeq);
     runs.put(job.spec().id(), run);
     log.debug(
         "{} of {} is new: {} tasks of image {}",
@@ -247,7 +251,11 @@
     }
     for (String name : attention) {
       Machine m = fleet.get(name);
-      if (m != null && m.phase() == Machine.Phase.REPORTING) {
+      if (m == null) {
+        continue;
+      }
+      m.touch();
+      if (m.phase() == Machine.Phase.REPORTING) {
         fleet.sendOrders(m);
       }
     }
@@ -278,13 +286,11 @@
 
   /** A withdrawn job's task: its round record still says what it takes. */
   private RoundRecord.Start recorded(Machine m, Beat.Task task) {
-    for (RoundRecord record : table.rounds().values()) {
-      for (RoundRecord.Start s : record.starts()) {
-        if (s.attempt() == task.attempt()
-            && s.task().equals(task.ref())
-            && s.machine().equals(m.name())) {
-          return s;
-        }
+    for (RoundRecord.Start s : table.startsOf(task.ref().job())) {
+      if (s.attempt() == task.attempt()
+          && s.task().equals(task.ref())
+          && s.machine().equals(m.name())) {
+        return s;
       }
     }
     return new RoundRecord.Start(task.ref(), task.attempt(), m.name(), m.session(), "", 0, 0, 0);
@@ -457,6 +463,10 @@
       return;
     }
     Snapshot snapshot = snapshot();
+    if (snapshot == null) {
+      unplaced = List.of();
+      return;
+    }
     Plan plan = Planner.plan(snapshot);
     unplaced = plan.unplaced();
     if (log.isDebugEnabled() && !unplaced.isEmpty()) {
@@ -468,11 +478,10 @@
     Set<Machine> stopOn = new LinkedHashSet<>();
     for (Snapshot.Running r : plan.stops()) {
       Machine m = fleet.get(r.machine());
-      for (Attempt a : m.attempts()) {
-        if (a.start().task().toString().concat("#" + a.start().attempt()).equals(r.attemptKey())) {
-          a.stopping();
-          stopOn.add(m);
-        }
+      Attempt a = fleet.find(r.machine(), new TaskRef(r.spec().id(), r.task()), r.attempt());
+      if (a != null) {
+        a.stopping();
+        stopOn.add(m);
       }
     }
     stopOn.forEach(fleet::sendOrders);
@@ -572,76 +581,34 @@
     }
   }
 
+  /** What a round may look at; null if no task waits for a place. */
   private Snapshot snapshot() {
     long now = host.nowMs();
+    int mostStarts = mostStarts();
+    double total = 0;
+    Map<Run, List<Integer>> waiting = new LinkedHashMap<>();
+    for (Run run : runs.values()) {
+      total += run.unfinished() * run.job().spec().cpus();
+      if (run.hasIdle()) {
+        List<Integer> tasks = run.pending(now, mostStarts * 4);
+        if (!tasks.isEmpty()) {
+          waiting.put(run, tasks);
+        }
+      }
+    }
+    rentals.demand(total);
+    if (waiting.isEmpty()) {
+      return null;
+    }
     Map<String, Flavor> types = flavors.get();
     Map<String, double[]> used = new HashMap<>();
-    Map<String, double[]> demanded = new HashMap<>();
     List<Snapshot.Host> hosts = new ArrayList<>();
-    List<Snapshot.Running> running = new ArrayList<>();
-    Map<String, Boolean> guaranteed = guaranteedJobs(demanded);
     for (Machine m : fleet.machines()) {
-      Flavor f = types.get(m.type());
-      boolean ready = f != null && fleet.isReady(m);
-      double cpus = f == null ? 0 : f.cpus();
-      double cards = f == null ? 0 : f.cards();
-      double mem = f == null ? 0 : f.memGb();
-      Set<String> fetching = new HashSet<>();
-      Map<String, Integer> classes = new HashMap<>();
-      for (Attempt a : m.attempts()) {
-        if (!a.mayBePresent()) {
-          continue;
-        }
-        RoundRecord.Start s = a.start();
-        double[] u = used.computeIfAbsent(s.team(), k -> new double[2]);
-        u[0] += s.cpus();
-        u[1] += s.cards();
-        cpus -= s.cpus();
-        cards -= s.cards();
-        mem -= s.memGb();
-        Run run = runs.get(s.task().job());
-        if (run == null) {
-          continue;
-        }
-        JobSpec spec = run.job().spec();
-        classes.merge(spec.jobClass(), 1, Integer::sum);
-        if (a.phase() == Attempt.Phase.RUNNING || a.phase() == Attempt.Phase.FLUSHING) {
-          fleet.cached(m, spec.image(), spec.imageGb());
-        } else {
-          fetching.add(spec.image());
-        }
-        if (ready && a.phase() != Attempt.Phase.RECORDED && a.phase() != Attempt.Phase.SENT) {
-          running.add(
-              new Snapshot.Running(
-                  s.task() + "#" + s.attempt(),
-                  m.name(),
-                  spec.team(),
-                  spec.priority().ordinal(),
-                  !guaranteed.getOrDefault(spec.id(), false),
-                  a.isStopping(),
-                  s.cpus(),
-                  s.cards(),
-                  s.memGb(),
-                  a.runningSinceMs() < 0 ? 0 : (now - a.runningSinceMs()) / 1000.0));
-        }
-      }
-      if (ready) {
-        fetching.removeAll(m.images());
-        hosts.add(
-            new Snapshot.Host(
-                m.name(),
-                m.type(),
-                m.zone(),
-                m.spot(),
-                f.cpus(),
-                cpus,
-                cards,
-                mem,
-                f.fetchGbPerS(),
-                f.cacheGb(),
-                new HashSet<>(m.images()),
-                fetching,
-                classes));
+      Load load = loads.computeIfAbsent(m, k -> new Load());
+      load.update(m, types.get(m.type()), fleet, this::liveSpec);
+      load.addTo(used);
+      if (load.host() != null && fleet.isReady(m)) {
+        hosts.add(load.host());
       }
     }
     Map<String, Snapshot.Use> teams = new HashMap<>();
@@ -649,56 +616,59 @@
       double[] u = used.getOrDefault(t.name(), new double[2]);
       teams.put(t.name(), new Snapshot.Use(u[0], u[1], t.cpusMax(), t.cardsMax()));
     }
+    Set<String> guaranteed = guaranteedJobs();
     List<Snapshot.Need> needs = new ArrayList<>();
-    double total = 0;
-    long order = 0;
-    int mostStarts =
-        Math.min(
-            Constants.STARTS_PER_ROUND,
-            (settings.state().valueBytes() - Constants.VALUE_SLACK_BYTES)
-                / Constants.RECORD_BYTES_PER_START);
-    for (Run run : runs.values()) {
-      order++;
-      JobSpec spec = run.job().spec();
-      total += run.unfinished() * spec.cpus();
-      List<Integer> tasks = run.pending(now, mostStarts * 4);
-      if (tasks.isEmpty()) {
-        continue;
-      }
-      double slack = Double.MAX_VALUE;
-      if (spec.deadlineS() != JobSpec.NO_DEADLINE) {
-        slack =
-            spec.deadlineS()
-                - (host.wallMs() - run.job().acceptedWallMs()) / 1000.0
-                - estimate(spec);
-      }
-      needs.add(
-          new Snapshot.Need(
-              spec,
-              tasks,
-              zonesOf(run),
-              guaranteed.getOrDefault(spec.id(), false),
-              spec.service() || settings.waitsMatter(spec.jobClass()),
-              slack,
-              order));
+    waiting.forEach((run, tasks) -> needs.add(need(run, tasks, guaranteed)));
+    return new Snapshot(hosts, needs, guaranteed, teams, now, mostStarts);
+  }
+
+  private int mostStarts() {
+    return Math.min(
+        Constants.STARTS_PER_ROUND,
+        (settings.state().valueBytes() - Constants.VALUE_SLACK_BYTES)
+            / Constants.RECORD_BYTES_PER_START);
+  }
+
+  private Snapshot.Need need(Run run, List<Integer> tasks, Set<String> guaranteed) {
+    JobSpec spec = run.job().spec();
+    double slack = Double.MAX_VALUE;
+    if (spec.deadlineS() != JobSpec.NO_DEADLINE) {
+      slack =
+          spec.deadlineS()
+              - (host.wallMs() - run.job().acceptedWallMs()) / 1000.0
+              - estimate(spec);
     }
-    rentals.demand(total);
-    return new Snapshot(hosts, needs, running, teams, mostStarts);
+    return new Snapshot.Need(
+        spec,
+        tasks,
+        spec.onePlace() || spec.apart() ? zonesOf(run) : Map.of(),
+        guaranteed.contains(spec.id()),
+        spec.service() || settings.waitsMatter(spec.jobClass()),
+        slack,
+        run.order());
+  }
+
+  private JobSpec liveSpec(String job) {
+    Run run = runs.get(job);
+    return run == null ? null : run.job().spec();
   }
 
   /** A team's oldest jobs are within its guarantee, as far as they fit into it together. */
-  private Map<String, Boolean> guaranteedJobs(Map<String, double[]> demanded) {
-    Map<String, Boolean> guaranteed = new HashMap<>();
+  private Set<String> guaranteedJobs() {
+    Set<String> guaranteed = new HashSet<>();
+    Map<String, double[]> demanded = new HashMap<>();
     for (Run run : runs.values()) {
       JobSpec spec = run.job().spec();
       Settings.Team team = settings.teams().get(spec.team());
-      if (team == null) {
+      if (team == null || (team.cpus() <= 0 && team.cards() <= 0)) {
         continue;
       }
       double[] d = demanded.computeIfAbsent(spec.team(), k -> new double[2]);
       d[0] += run.unfinished() * spec.cpus();
       d[1] += run.unfinished() * spec.cards();
-      guaranteed.put(spec.id(), d[0] <= team.cpus() + 1e-9 && d[1] <= team.cards() + 1e-9);
+      if (d[0] <= team.cpus() + 1e-9 && d[1] <= team.cards() + 1e-9) {
+        guaranteed.add(spec.id());
+      }
     }
     return guaranteed;
   }
--- a/src/main/java/fennelthread/plan/Planner.java
+++ b/src/main/java/fennelthread/plan/Planner.java
@@ -1,17 +1,28 @@
 package fennelthread.plan;
 
 import fennelthread.wire.JobSpec;
+import fennelthread.wire.Priority;
 import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.PriorityQueue;
 import java.util.Set;
 
 /**
  * Decides which task goes where: a function of the snapshot alone. A machine that has the image
  * comes before one that must fetch it; among equals the one left fullest is taken.
+ *
+ * <p>Tasks of one job are alike, so that machines are ranked once per job and not per task; and
+ * what found no room once is not looked for again, since room only shrinks within a round. On a
+ * fleet of hundreds a burst beyond capacity otherwise costs tasks times machines times running
+ * work, on the one thread that also renews the lease. The tests hold the plain version, which must
+ * choose the same.
  */
 public final class Planner {
   private static final double EPSILON = 1e-9;
@@ -25,25 +36,26 @@
   /** Above any score of a machine that has the image. */
   private static final double NOT_CACHED = 1_000;
 
+  /** A machine while its room is handed out; {@code version} rises with each change. */
   private static final class Room {
     final Snapshot.Host host;
+    final int index;
+    int version;
     double cpus;
     double cards;
     double memGb;
     double comingCpus;
     double comingCards;
     double comingMemGb;
-    int startedImages;
-    final Set<String> fetching;
-    final Map<String, Integer> classes;
+    private Set<String> fetching;
+    private Map<String, Integer> classes;
 
-    Room(Snapshot.Host host) {
+    Room(Snapshot.Host host, int index) {
       this.host = host;
+      this.index = index;
       this.cpus = host.cpus();
       this.cards = host.cards();
       this.memGb = host.memGb();
-      this.fetching = new HashSet<>(host.fetching());
-      this.classes = new HashMap<>(host.classes());
     }
 
     boolean fits(JobSpec spec) {
@@ -58,41 +70,250 @@
           && spec.memGb() <= memGb + comingMemGb + EPSILON;
     }
 
+    boolean hasImage(JobSpec spec) {
+      return host.images().contains(spec.image());
+    }
+
+    boolean isComing() {
+      return comingCpus > 0 || comingMemGb > 0;
+    }
+
+    Set<String> fetching() {
+      return fetching == null ? host.fetching() : fetching;
+    }
+
+    int crowd(String jobClass) {
+      return (classes == null ? host.classes() : classes).getOrDefault(jobClass, 0);
+    }
+
     void take(JobSpec spec) {
       cpus -= spec.cpus();
       cards -= spec.cards();
       memGb -= spec.memGb();
+      if (classes == null) {
+        // Copied only here: most machines get nothing in a round.
+        classes = new HashMap<>(host.classes());
+        fetching = new HashSet<>(host.fetching());
+      }
       classes.merge(spec.jobClass(), 1, Integer::sum);
-      if (!host.images().contains(spec.image())) {
+      if (!hasImage(spec)) {
         fetching.add(spec.image());
       }
+      version++;
+    }
+
+    void coming(Snapshot.Running r) {
+      comingCpus += r.cpus();
+      comingCards += r.cards();
+      comingMemGb += r.memGb();
+    }
+
+    void reserve(JobSpec spec) {
+      comingCpus -= spec.cpus();
+      comingCards -= spec.cards();
+      comingMemGb -= spec.memGb();
+      version++;
+    }
+  }
+
+  /** A machine with what choosing it costs; out of date once the machine has changed. */
+  private record Candidate(double cost, Room room, int version, List<Snapshot.Running> victims)
+      implements Comparable<Candidate> {
+    @Override
+    public int compareTo(Candidate other) {
+      int order = Double.compare(cost, other.cost);
+      return order != 0 ? order : Integer.compare(room.index, other.room.index);
+    }
+  }
+
+  /** What a task asks of a machine; tasks with equal shapes fit the same machines. */
+  private record Shape(
+      double cpus, double cards, double memGb, List<String> types, String zone, boolean spot) {
+    static Shape of(JobSpec spec) {
+      return new Shape(
+          spec.cpus(), spec.cards(), spec.memGb(), spec.types(), spec.zone(), spec.spotAllowed());
+    }
+  }
+
+  /** A shape, and whose work may be stopped for it; {@code image} is null if any machine will do. */
+  private record Claim(Shape shape, Priority priority, String guaranteedTeam, String image) {}
+
+  /** The search for places for one job's tasks. */
+  private final class Search {
+    final Snapshot.Need need;
+    final JobSpec spec;
+    final Map<String, Integer> zones;
+    final boolean zoned;
+    private final Shape shape;
+    private PriorityQueue<Candidate> places;
+    private PriorityQueue<Candidate> stopsCached;
+    private PriorityQueue<Candidate> stopsAny;
+
+    Search(Snapshot.Need need) {
+      this.need = need;
+      this.spec = need.spec();
+      this.zoned = spec.onePlace() || spec.apart();
+      this.zones = zoned ? new HashMap<>(need.zones()) : Map.of();
+      this.shape = Shape.of(spec);
+    }
+
+    /** The best machine with room, or null. */
+    Room best() {
+      if (!zoned && full.contains(shape)) {
+        return null;
+      }
+      if (places == null || zoned) {
+        // With a rule about zones, each task placed may forbid machines to the next one.
+        List<Candidate> all = new ArrayList<>();
+        for (Room room : rooms) {
+          if (room.fits(spec) && allowed(spec, zones, room.host)) {
+            all.add(new Candidate(score(need, room), room, room.version, null));
+          }
+        }
+        places = new PriorityQueue<>(all);
+      }
+      Candidate best = newest(places);
+      if (best == null && !zoned) {
+        full.add(shape);
+      }
+      return best == null ? null : best.room;
+    }
+
+    void take(Room room) {
+      room.take(spec);
+      if (zoned) {
+        zones.merge(room.host.zone(), 1, Integer::sum);
+      }
+      changed(room);
+    }
+
+    /** Puts a changed machine back among the candidates. */
+    private void changed(Room room) {
+      coming.set(room.index, room.isComing());
+      if (zoned) {
+        return;
+      }
+      if (places != null && room.fits(spec)) {
+        places.add(new Candidate(score(need, room), room, room.version, null));
+      }
+      offer(stopsAny, room, false);
+      offer(stopsCached, room, true);
+    }
+
+    private void offer(PriorityQueue<Candidate> queue, Room room, boolean cachedOnly) {
+      if (queue != null) {
+        Candidate c = stopsOn(room, cachedOnly);
+        if (c != null) {
+          queue.add(c);
+        }
+      }
+    }
+
+    /**
+     * Stops less urgent work, or borrowed work of others, where that lets a task start soon; only
+     * on machines that have its image, if so asked. True if room is being made.
+     */
+    boolean makeRoom(boolean cachedOnly) {
+      for (int i = coming.nextSetBit(0); i >= 0; i = coming.nextSetBit(i + 1)) {
+        Room room = rooms.get(i);
+        if (room.willFit(spec)
+            && allowed(spec, zones, room.host)
+            && (!cachedOnly || room.hasImage(spec))) {
+          room.reserve(spec);
+          changed(room);
+          return true;
+        }
+      }
+      Claim claim =
+          new Claim(
+              shape,
+              spec.priority(),
+              need.withinGuarantee() ? spec.team() : null,
+              cachedOnly ? spec.image() : null);
+      if (!anyToStop(need) || (!zoned && hopeless.contains(claim))) {
+        return false;
+      }
+      Candidate best = newest(stops(cachedOnly));
+      if (best == null) {
+        if (!zoned) {
+          hopeless.add(claim);
+        }
+        return false;
+      }
+      for (Snapshot.Running v : best.victims) {
+        stopped.add(v);
+        stops.add(v);
+        best.room.coming(v);
+      }
+      best.room.reserve(spec);
+      changed(best.room);
+      return true;
+    }
+
+    private PriorityQueue<Candidate> stops(boolean cachedOnly) {
+      PriorityQueue<Candidate> known = cachedOnly ? stopsCached : stopsAny;
+      if (known != null && !zoned) {
+        return known;
+      }
+      List<Candidate> all = new ArrayList<>();
+      for (Room room : rooms) {
+        Candidate c = stopsOn(room, cachedOnly);
+        if (c != null) {
+          all.add(c);
+        }
+      }
+      PriorityQueue<Candidate> queue = new PriorityQueue<>(all);
+      if (cachedOnly) {
+        stopsCached = queue;
+      } else {
+        stopsAny = queue;
+      }
+      return queue;
+    }
+
+    private Candidate stopsOn(Room room, boolean cachedOnly) {
+      if ((cachedOnly && !room.hasImage(spec)) || !allowed(spec, zones, room.host)) {
+        return null;
+      }
+      List<Snapshot.Running> victims = victims(need, room);
+      if (victims == null) {
+        return null;
+      }
+      double lost = 0;
+      for (Snapshot.Running v : victims) {
+        lost += v.runS(snapshot.nowMs()) * Math.max(1, v.cpus());
+      }
+      return new Candidate(lost + 100 * score(need, room), room, room.version, victims);
     }
   }
 
   private final Snapshot snapshot;
-  private final List<Room> rooms = new ArrayList<>();
+  private final List<Room> rooms;
   private final Map<String, Snapshot.Use> teams;
   private final List<Plan.Start> starts = new ArrayList<>();
   private final List<Snapshot.Running> stops = new ArrayList<>();
   private final List<Plan.Unplaced> unplaced = new ArrayList<>();
-  private final Set<String> stopped = new HashSet<>();
+  private final Set<Snapshot.Running> stopped = Collections.newSetFromMap(new IdentityHashMap<>());
+  private final BitSet coming = new BitSet();
+  private final Set<Shape> full = new HashSet<>();
+  private final Set<Claim> hopeless = new HashSet<>();
+  private final int[] stoppable = new int[Priority.values().length];
 
   private Planner(Snapshot snapshot) {
     this.snapshot = snapshot;
     this.teams = new HashMap<>(snapshot.teams());
-    Map<String, Room> byName = new HashMap<>();
+    this.rooms = new ArrayList<>(snapshot.hosts().size());
     for (Snapshot.Host host : snapshot.hosts()) {
-      Room room = new Room(host);
+      Room room = new Room(host, rooms.size());
       rooms.add(room);
-      byName.put(host.name(), room);
-    }
-    for (Snapshot.Running r : snapshot.running()) {
-      Room room = byName.get(r.machine());
-      if (r.stopping() && room != null) {
-        room.comingCpus += r.cpus();
-        room.comingCards += r.cards();
-        room.comingMemGb += r.memGb();
+      for (Snapshot.Running r : host.running()) {
+        if (r.stopping()) {
+          room.coming(r);
+        } else {
+          stoppable[r.spec().priority().ordinal()]++;
+        }
       }
+      coming.set(room.index, room.isComing());
     }
   }
 
@@ -116,37 +337,36 @@
   }
 
   private void place(Snapshot.Need need) {
+    Search search = new Search(need);
     JobSpec spec = need.spec();
-    Map<String, Integer> zones = new HashMap<>(need.zones());
     int missing = 0;
+    boolean cachedHopeless = false;
+    boolean anyHopeless = false;
     for (int task : need.tasks()) {
       Snapshot.Use use = teams.get(spec.team());
       if (use == null || !use.allows(spec.cpus(), spec.cards())) {
         break;
       }
-      Room best = null;
-      if (missing == 0 && starts.size() < snapshot.mostStarts()) {
-        best = bestRoom(need, zones);
-        if (best != null && spec.service() && fetchSeconds(spec, best) > 1 && makeRoom(need, zones, true)) {
+      // A task without a place yet is counted too: rooms asked for must not exceed the cap.
+      teams.put(spec.team(), use.plus(spec.cpus(), spec.cards()));
+      if (starts.size() >= snapshot.mostStarts()) {
+        missing++;
+        continue;
+      }
+      Room best = missing == 0 ? search.best() : null;
+      if (best != null && spec.service() && !cachedHopeless && fetchSeconds(spec, best) > 1) {
+        if (search.makeRoom(true)) {
           // Less urgent work leaves a machine that has the image: sooner than fetching it here.
-          best = null;
-          teams.put(spec.team(), use.plus(spec.cpus(), spec.cards()));
           continue;
         }
+        cachedHopeless = true;
       }
       if (best != null) {
-        best.take(spec);
+        search.take(best);
         starts.add(new Plan.Start(spec, task, best.host.name()));
       } else {
         missing++;
-        if (starts.size() < snapshot.mostStarts()) {
-          makeRoom(need, zones, false);
-        }
-      }
-      // A task without a place yet is counted too: rooms asked for must not exceed the cap.
-      teams.put(spec.team(), use.plus(spec.cpus(), spec.cards()));
-      if (best != null) {
-        zones.merge(best.host.zone(), 1, Integer::sum);
+        anyHopeless = anyHopeless || !search.makeRoom(false);
       }
     }
     if (missing > 0) {
@@ -154,6 +374,13 @@
     }
   }
 
+  private static Candidate newest(PriorityQueue<Candidate> queue) {
+    while (!queue.isEmpty() && queue.peek().version != queue.peek().room.version) {
+      queue.poll();
+    }
+    return queue.peek();
+  }
+
   /** True if the job's own rules let a task of it start there now. */
   static boolean allowed(JobSpec spec, Map<String, Integer> zones, Snapshot.Host host) {
     if (spec.types() != null && !spec.types().contains(host.type())) {
@@ -180,30 +407,14 @@
     return !spec.apart() || zones.getOrDefault(host.zone(), 0) + 1 <= (spec.tasks() + 1) / 2;
   }
 
-  private Room bestRoom(Snapshot.Need need, Map<String, Integer> zones) {
-    Room best = null;
-    double bestScore = 0;
-    for (Room room : rooms) {
-      if (!room.fits(need.spec()) || !allowed(need.spec(), zones, room.host)) {
-        continue;
-      }
-      double score = score(need, room);
-      if (best == null || score < bestScore) {
-        best = room;
-        bestScore = score;
-      }
-    }
-    return best;
-  }
-
   private static double fetchSeconds(JobSpec spec, Room room) {
-    if (room.host.images().contains(spec.image())) {
+    if (room.hasImage(spec)) {
       return 0;
     }
     double alone = spec.imageGb() / Math.max(0.01, room.host.fetchGbPerS());
-    return room.fetching.contains(spec.image())
+    return room.fetching().contains(spec.image())
         ? alone * (spec.service() ? 1 : FETCH_LEFT)
-        : alone * (1 + room.fetching.size());
+        : alone * (1 + room.fetching().size());
   }
 
   /** Lower is better: seconds until the task would run, then how empty the machine would be left. */
@@ -214,8 +425,8 @@
     if (spec.service()) {
       // A replica that must wait for its image anyway brings it to a machine with few others: one
       // death then costs little, and later replicas find the image on machines with room.
-      int crowd = room.classes.getOrDefault(spec.jobClass(), 0);
-      return room.host.images().contains(spec.image())
+      int crowd = room.crowd(spec.jobClass());
+      return room.hasImage(spec)
           ? crowd * CROWD_CACHED + left
           : NOT_CACHED + fetch + crowd + left;
     }
@@ -223,82 +434,26 @@
     return fetch * (need.waitMatters() ? 10 : 1) + left + spot;
   }
 
-  /**
-   * Stops less urgent work, or borrowed work of others, where that lets this task start soon; only
-   * on machines that have its image, if so asked. True if room is being made.
-   */
-  private boolean makeRoom(Snapshot.Need need, Map<String, Integer> zones, boolean cachedOnly) {
-    JobSpec spec = need.spec();
-    for (Room room : rooms) {
-      if (allowed(spec, zones, room.host)
-          && (!cachedOnly || room.host.images().contains(spec.image()))
-          && (room.comingCpus > 0 || room.comingMemGb > 0)
-          && room.willFit(spec)) {
-        reserve(room, spec);
-        return true;
-      }
-    }
-    Room best = null;
-    List<Snapshot.Running> bestVictims = null;
-    double bestCost = Double.MAX_VALUE;
-    for (Room room : rooms) {
-      if (!allowed(spec, zones, room.host)
-          || (cachedOnly && !room.host.images().contains(spec.image()))) {
-        continue;
-      }
-      List<Snapshot.Running> victims = victims(need, room);
-      if (victims == null) {
-        continue;
-      }
-      double lost = victims.stream().mapToDouble(v -> v.runS() * Math.max(1, v.cpus())).sum();
-      double cost = lost + 100 * score(need, room);
-      if (cost < bestCost) {
-        best = room;
-        bestVictims = victims;
-        bestCost = cost;
-      }
-    }
-    if (best != null) {
-      for (Snapshot.Running v : bestVictims) {
-        stopped.add(v.attemptKey());
-        stops.add(v);
-        best.comingCpus += v.cpus();
-        best.comingCards += v.cards();
-        best.comingMemGb += v.memGb();
-      }
-      reserve(best, spec);
-    }
-    return best != null;
-  }
-
-  private static void reserve(Room room, JobSpec spec) {
-    room.comingCpus -= spec.cpus();
-    room.comingCards -= spec.cards();
-    room.comingMemGb -= spec.memGb();
-  }
-
   private List<Snapshot.Running> victims(Snapshot.Need need, Room room) {
     JobSpec spec = need.spec();
     List<Snapshot.Running> candidates = new ArrayList<>();
-    for (Snapshot.Running r : snapshot.running()) {
-      if (r.machine().equals(room.host.name())
-          && !r.stopping()
-          && !stopped.contains(r.attemptKey())
-          && mayStop(need, r)) {
+    for (Snapshot.Running r : room.host.running()) {
+      if (!r.stopping() && mayStop(need, r) && !stopped.contains(r)) {
         candidates.add(r);
       }
     }
+    if (candidates.isEmpty()) {
+      return null;
+    }
     candidates.sort(
-        Comparator.<Snapshot.Running>comparingInt(r -> -r.priorityRank())
-            .thenComparingDouble(Snapshot.Running::runS));
+        Comparator.<Snapshot.Running>comparingInt(r -> -r.spec().priority().ordinal())
+            .thenComparingDouble(r -> r.runS(snapshot.nowMs())));
     double cpus = room.cpus + room.comingCpus;
     double cards = room.cards + room.comingCards;
     double mem = room.memGb + room.comingMemGb;
     List<Snapshot.Running> victims = new ArrayList<>();
     for (Snapshot.Running r : candidates) {
-      if (spec.cpus() <= cpus + EPSILON
-          && spec.cards() <= cards + EPSILON
-          && spec.memGb() <= mem + EPSILON) {
+      if (enough(spec, cpus, cards, mem)) {
         break;
       }
       victims.add(r);
@@ -306,22 +461,37 @@
       cards += r.cards();
       mem += r.memGb();
     }
-    boolean enough =
-        spec.cpus() <= cpus + EPSILON
-            && spec.cards() <= cards + EPSILON
-            && spec.memGb() <= mem + EPSILON;
-    return enough && !victims.isEmpty() ? victims : null;
+    return enough(spec, cpus, cards, mem) && !victims.isEmpty() ? victims : null;
+  }
+
+  private static boolean enough(JobSpec spec, double cpus, double cards, double memGb) {
+    return spec.cpus() <= cpus + EPSILON
+        && spec.cards() <= cards + EPSILON
+        && spec.memGb() <= memGb + EPSILON;
+  }
+
+  /** False if no running work anywhere comes later than the need. */
+  private boolean anyToStop(Snapshot.Need need) {
+    int rank = need.spec().priority().ordinal();
+    for (int i = need.withinGuarantee() ? rank : rank + 1; i < stoppable.length; i++) {
+      if (stoppable[i] > 0) {
+        return true;
+      }
+    }
+    return false;
   }
 
   /**
    * Only work that comes later in the order of placement may be stopped. A guarantee once stopped
    * borrowed work of higher priority, which took the room back in the next round, over and over.
    */
-  private static boolean mayStop(Snapshot.Need need, Snapshot.Running r) {
-    int rank = need.spec().priority().ordinal();
-    if (r.priorityRank() != rank) {
-      return r.priorityRank() > rank;
+  private boolean mayStop(Snapshot.Need need, Snapshot.Running r) {
+    int order = r.spec().priority().compareTo(need.spec().priority());
+    if (order != 0) {
+      return order > 0;
     }
-    return need.withinGuarantee() && r.borrowed() && !r.team().equals(need.spec().team());
+    return need.withinGuarantee()
+        && !snapshot.guaranteed().contains(r.spec().id())
+        && !r.spec().team().equals(need.spec().team());
   }
 }
--- a/src/main/java/fennelthread/plan/Snapshot.java
+++ b/src/main/java/fennelthread/plan/Snapshot.java
@@ -5,9 +5,17 @@
 import java.util.Map;
 import java.util.Set;
 
-/** Everything that placement may look at, frozen for one round. */
+/**
+ * Everything that placement may look at, frozen for one round. {@code guaranteed} names the jobs
+ * that lie within their team's guarantee; all other work is borrowed.
+ */
 public record Snapshot(
-    List<Host> hosts, List<Need> needs, List<Running> running, Map<String, Use> teams, int mostStarts) {
+    List<Host> hosts,
+    List<Need> needs,
+    Set<String> guaranteed,
+    Map<String, Use> teams,
+    long nowMs,
+    int mostStarts) {
 
   /** Where tasks are that a predecessor started on a machine nobody has described yet. */
   public static final String UNKNOWN_ZONE = "";
@@ -26,9 +34,13 @@
       double cacheGb,
       Set<String> images,
       Set<String> fetching,
-      Map<String, Integer> classes) {}
+      Map<String, Integer> classes,
+      List<Running> running) {}
 
-  /** A job with tasks to place. {@code zones} counts its tasks that may be present, by zone. */
+  /**
+   * A job with tasks to place. {@code zones} counts its tasks that may be present, by zone; only
+   * jobs with a rule about zones need it.
+   */
   public record Need(
       JobSpec spec,
       List<Integer> tasks,
@@ -38,18 +50,23 @@
       double slackS,
       long order) {}
 
-  /** A task that may be stopped; {@code runS} is the work that would be lost. */
+  /** A task that may be stopped; {@code sinceMs} is when it began to run, or -1. */
   public record Running(
-      String attemptKey,
+      JobSpec spec,
+      int task,
+      long attempt,
       String machine,
-      String team,
-      int priorityRank,
-      boolean borrowed,
       boolean stopping,
       double cpus,
       double cards,
       double memGb,
-      double runS) {}
+      long sinceMs) {
+
+    /** The work that would be lost, seconds. */
+    double runS(long nowMs) {
+      return sinceMs < 0 ? 0 : (nowMs - sinceMs) / 1000.0;
+    }
+  }
 
   /** What a team's tasks use at the most, and its limits; a cap of 0 means that there is none. */
   public record Use(double cpus, double cards, double cpusMax, double cardsMax) {
--- /dev/null
+++ b/src/test/java/fennelthread/plan/PlainPlanner.java
@@ -0,0 +1,324 @@
+package fennelthread.plan;
+
+import fennelthread.wire.JobSpec;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * The planner without any of its short cuts: each task looks at every machine and at all running
+ * work. Slow and plain, so that it can be read; {@link Planner} must choose the same.
+ */
+final class PlainPlanner {
+  private static final double EPSILON = 1e-9;
+
+  /** What is left of a fetch under way, as a share: unknown, so a little more than the half. */
+  private static final double FETCH_LEFT = 0.6;
+
+  /** What one more replica of the class on a machine with the image counts, in emptiness. */
+  private static final double CROWD_CACHED = 0.2;
+
+  /** Above any score of a machine that has the image. */
+  private static final double NOT_CACHED = 1_000;
+
+  private static final class Room {
+    final Snapshot.Host host;
+    double cpus;
+    double cards;
+    double memGb;
+    double comingCpus;
+    double comingCards;
+    double comingMemGb;
+    int startedImages;
+    final Set<String> fetching;
+    final Map<String, Integer> classes;
+
+    Room(Snapshot.Host host) {
+      this.host = host;
+      this.cpus = host.cpus();
+      this.cards = host.cards();
+      this.memGb = host.memGb();
+      this.fetching = new HashSet<>(host.fetching());
+      this.classes = new HashMap<>(host.classes());
+    }
+
+    boolean fits(JobSpec spec) {
+      return spec.cpus() <= cpus + EPSILON
+          && spec.cards() <= cards + EPSILON
+          && spec.memGb() <= memGb + EPSILON;
+    }
+
+    boolean willFit(JobSpec spec) {
+      return spec.cpus() <= cpus + comingCpus + EPSILON
+          && spec.cards() <= cards + comingCards + EPSILON
+          && spec.memGb() <= memGb + comingMemGb + EPSILON;
+    }
+
+    void take(JobSpec spec) {
+      cpus -= spec.cpus();
+      cards -= spec.cards();
+      memGb -= spec.memGb();
+      classes.merge(spec.jobClass(), 1, Integer::sum);
+      if (!host.images().contains(spec.image())) {
+        fetching.add(spec.image());
+      }
+    }
+  }
+
+  private final Snapshot snapshot;
+  private final List<Room> rooms = new ArrayList<>();
+  private final Map<String, Snapshot.Use> teams;
+  private final List<Plan.Start> starts = new ArrayList<>();
+  private final List<Snapshot.Running> stops = new ArrayList<>();
+  private final List<Plan.Unplaced> unplaced = new ArrayList<>();
+  private final Set<Snapshot.Running> stopped = new HashSet<>();
+
+  private PlainPlanner(Snapshot snapshot) {
+    this.snapshot = snapshot;
+    this.teams = new HashMap<>(snapshot.teams());
+    for (Snapshot.Host host : snapshot.hosts()) {
+      rooms.add(new Room(host));
+    }
+    for (Room room : rooms) {
+      for (Snapshot.Running r : room.host.running()) {
+        if (r.stopping()) {
+          room.comingCpus += r.cpus();
+          room.comingCards += r.cards();
+          room.comingMemGb += r.memGb();
+        }
+      }
+    }
+  }
+
+  /** Plans one round. */
+  public static Plan plan(Snapshot snapshot) {
+    PlainPlanner planner = new PlainPlanner(snapshot);
+    planner.run();
+    return new Plan(planner.starts, planner.stops, planner.unplaced);
+  }
+
+  private void run() {
+    List<Snapshot.Need> needs = new ArrayList<>(snapshot.needs());
+    needs.sort(
+        Comparator.<Snapshot.Need>comparingInt(n -> n.spec().priority().ordinal())
+            .thenComparing(n -> !n.withinGuarantee())
+            .thenComparingDouble(Snapshot.Need::slackS)
+            .thenComparingLong(Snapshot.Need::order));
+    for (Snapshot.Need need : needs) {
+      place(need);
+    }
+  }
+
+  private void place(Snapshot.Need need) {
+    JobSpec spec = need.spec();
+    Map<String, Integer> zones = new HashMap<>(need.zones());
+    int missing = 0;
+    for (int task : need.tasks()) {
+      Snapshot.Use use = teams.get(spec.team());
+      if (use == null || !use.allows(spec.cpus(), spec.cards())) {
+        break;
+      }
+      Room best = null;
+      if (missing == 0 && starts.size() < snapshot.mostStarts()) {
+        best = bestRoom(need, zones);
+        if (best != null && spec.service() && fetchSeconds(spec, best) > 1 && makeRoom(need, zones, true)) {
+          // Less urgent work leaves a machine that has the image: sooner than fetching it here.
+          best = null;
+          teams.put(spec.team(), use.plus(spec.cpus(), spec.cards()));
+          continue;
+        }
+      }
+      if (best != null) {
+        best.take(spec);
+        starts.add(new Plan.Start(spec, task, best.host.name()));
+      } else {
+        missing++;
+        if (starts.size() < snapshot.mostStarts()) {
+          makeRoom(need, zones, false);
+        }
+      }
+      // A task without a place yet is counted too: rooms asked for must not exceed the cap.
+      teams.put(spec.team(), use.plus(spec.cpus(), spec.cards()));
+      if (best != null) {
+        zones.merge(best.host.zone(), 1, Integer::sum);
+      }
+    }
+    if (missing > 0) {
+      unplaced.add(new Plan.Unplaced(spec, missing));
+    }
+  }
+
+  /** True if the job's own rules let a task of it start there now. */
+  static boolean allowed(JobSpec spec, Map<String, Integer> zones, Snapshot.Host host) {
+    if (spec.types() != null && !spec.types().contains(host.type())) {
+      return false;
+    }
+    if (spec.zone() != null && !spec.zone().equals(host.zone())) {
+      return false;
+    }
+    if (host.spot() && !spec.spotAllowed()) {
+      return false;
+    }
+    if ((spec.onePlace() || spec.apart())
+        && zones.getOrDefault(Snapshot.UNKNOWN_ZONE, 0) > 0) {
+      // It may be in any zone: neither rule can be kept for sure until the machine is heard.
+      return false;
+    }
+    if (spec.onePlace()) {
+      for (Map.Entry<String, Integer> e : zones.entrySet()) {
+        if (e.getValue() > 0 && !e.getKey().equals(host.zone())) {
+          return false;
+        }
+      }
+    }
+    return !spec.apart() || zones.getOrDefault(host.zone(), 0) + 1 <= (spec.tasks() + 1) / 2;
+  }
+
+  private Room bestRoom(Snapshot.Need need, Map<String, Integer> zones) {
+    Room best = null;
+    double bestScore = 0;
+    for (Room room : rooms) {
+      if (!room.fits(need.spec()) || !allowed(need.spec(), zones, room.host)) {
+        continue;
+      }
+      double score = score(need, room);
+      if (best == null || score < bestScore) {
+        best = room;
+        bestScore = score;
+      }
+    }
+    return best;
+  }
+
+  private static double fetchSeconds(JobSpec spec, Room room) {
+    if (room.host.images().contains(spec.image())) {
+      return 0;
+    }
+    double alone = spec.imageGb() / Math.max(0.01, room.host.fetchGbPerS());
+    return room.fetching.contains(spec.image())
+        ? alone * (spec.service() ? 1 : FETCH_LEFT)
+        : alone * (1 + room.fetching.size());
+  }
+
+  /** Lower is better: seconds until the task would run, then how empty the machine would be left. */
+  private static double score(Snapshot.Need need, Room room) {
+    JobSpec spec = need.spec();
+    double fetch = fetchSeconds(spec, room);
+    double left = (room.cpus - spec.cpus()) / Math.max(1, room.host.cpusTotal());
+    if (spec.service()) {
+      // A replica that must wait for its image anyway brings it to a machine with few others: one
+      // death then costs little, and later replicas find the image on machines with room.
+      int crowd = room.classes.getOrDefault(spec.jobClass(), 0);
+      return room.host.images().contains(spec.image())
+          ? crowd * CROWD_CACHED + left
+          : NOT_CACHED + fetch + crowd + left;
+    }
+    double spot = room.host.spot() ? -0.5 : 0;
+    return fetch * (need.waitMatters() ? 10 : 1) + left + spot;
+  }
+
+  /**
+   * Stops less urgent work, or borrowed work of others, where that lets this task start soon; only
+   * on machines that have its image, if so asked. True if room is being made.
+   */
+  private boolean makeRoom(Snapshot.Need need, Map<String, Integer> zones, boolean cachedOnly) {
+    JobSpec spec = need.spec();
+    for (Room room : rooms) {
+      if (allowed(spec, zones, room.host)
+          && (!cachedOnly || room.host.images().contains(spec.image()))
+          && (room.comingCpus > 0 || room.comingMemGb > 0)
+          && room.willFit(spec)) {
+        reserve(room, spec);
+        return true;
+      }
+    }
+    Room best = null;
+    List<Snapshot.Running> bestVictims = null;
+    double bestCost = Double.MAX_VALUE;
+    for (Room room : rooms) {
+      if (!allowed(spec, zones, room.host)
+          || (cachedOnly && !room.host.images().contains(spec.image()))) {
+        continue;
+      }
+      List<Snapshot.Running> victims = victims(need, room);
+      if (victims == null) {
+        continue;
+      }
+      double lost = victims.stream().mapToDouble(v -> v.runS(snapshot.nowMs()) * Math.max(1, v.cpus())).sum();
+      double cost = lost + 100 * score(need, room);
+      if (cost < bestCost) {
+        best = room;
+        bestVictims = victims;
+        bestCost = cost;
+      }
+    }
+    if (best != null) {
+      for (Snapshot.Running v : bestVictims) {
+        stopped.add(v);
+        stops.add(v);
+        best.comingCpus += v.cpus();
+        best.comingCards += v.cards();
+        best.comingMemGb += v.memGb();
+      }
+      reserve(best, spec);
+    }
+    return best != null;
+  }
+
+  private static void reserve(Room room, JobSpec spec) {
+    room.comingCpus -= spec.cpus();
+    room.comingCards -= spec.cards();
+    room.comingMemGb -= spec.memGb();
+  }
+
+  private List<Snapshot.Running> victims(Snapshot.Need need, Room room) {
+    JobSpec spec = need.spec();
+    List<Snapshot.Running> candidates = new ArrayList<>();
+    for (Snapshot.Running r : room.host.running()) {
+      if (!r.stopping() && !stopped.contains(r) && mayStop(need, r)) {
+        candidates.add(r);
+      }
+    }
+    candidates.sort(
+        Comparator.<Snapshot.Running>comparingInt(r -> -r.spec().priority().ordinal())
+            .thenComparingDouble(r -> r.runS(snapshot.nowMs())));
+    double cpus = room.cpus + room.comingCpus;
+    double cards = room.cards + room.comingCards;
+    double mem = room.memGb + room.comingMemGb;
+    List<Snapshot.Running> victims = new ArrayList<>();
+    for (Snapshot.Running r : candidates) {
+      if (spec.cpus() <= cpus + EPSILON
+          && spec.cards() <= cards + EPSILON
+          && spec.memGb() <= mem + EPSILON) {
+        break;
+      }
+      victims.add(r);
+      cpus += r.cpus();
+      cards += r.cards();
+      mem += r.memGb();
+    }
+    boolean enough =
+        spec.cpus() <= cpus + EPSILON
+            && spec.cards() <= cards + EPSILON
+            && spec.memGb() <= mem + EPSILON;
+    return enough && !victims.isEmpty() ? victims : null;
+  }
+
+  /**
+   * Only work that comes later in the order of placement may be stopped. A guarantee once stopped
+   * borrowed work of higher priority, which took the room back in the next round, over and over.
+   */
+  private boolean mayStop(Snapshot.Need need, Snapshot.Running r) {
+    int order = r.spec().priority().compareTo(need.spec().priority());
+    if (order != 0) {
+      return order > 0;
+    }
+    return need.withinGuarantee()
+        && !snapshot.guaranteed().contains(r.spec().id())
+        && !r.spec().team().equals(need.spec().team());
+  }
+}
--- a/src/test/java/fennelthread/plan/PlannerTest.java
+++ b/src/test/java/fennelthread/plan/PlannerTest.java
@@ -7,6 +7,7 @@
 import fennelthread.wire.Priority;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -14,6 +15,7 @@
 import org.junit.jupiter.api.Test;
 
 class PlannerTest {
+  private static final long NOW_MS = 1_000_000;
 
   private static JobSpec job(String id, String team, Priority priority, int tasks, double cpus) {
     return new JobSpec(
@@ -21,10 +23,22 @@
         true, 10, 0, 0, JobSpec.NO_DEADLINE);
   }
 
-  private static Snapshot.Host host(String name, String zone, double total, double free, String image) {
+  private static Snapshot.Host host(
+      String name, double total, double free, String image, Snapshot.Running... running) {
     return new Snapshot.Host(
-        name, "mesa", zone, false, total, free, 0, 64, 1, 20,
-        image == null ? Set.of() : Set.of(image), Set.of(), Map.of());
+        name, "mesa", "z", false, total, free, 0, 64, 1, 20,
+        image == null ? Set.of() : Set.of(image), Set.of(), Map.of(), List.of(running));
+  }
+
+  /** A task of 4 CPUs that runs on machine a since {@code runS} seconds. */
+  private static Snapshot.Running running(String id, String team, Priority priority, long runS) {
+    return new Snapshot.Running(
+        job(id, team, priority, 1, 4), 0, 1, "a", false, 4, 0, 1, NOW_MS - runS * 1000);
+  }
+
+  private static Snapshot snapshot(
+      List<Snapshot.Host> hosts, Snapshot.Need need, Set<String> guaranteed) {
+    return new Snapshot(hosts, List.of(need), guaranteed, teams(0), NOW_MS, 10);
   }
 
   private static Snapshot.Need need(JobSpec spec, boolean guaranteed, int count) {
@@ -43,40 +57,32 @@
   @Test
   void cachedImageBeforeFullest() {
     Snapshot s =
-        new Snapshot(
-            List.of(host("a", "z", 8, 2, null), host("b", "z", 8, 8, "img")),
-            List.of(need(job("job-1", "roja", Priority.STANDARD, 1, 2), true, 1)),
-            List.of(),
-            teams(0),
-            10);
+        snapshot(
+            List.of(host("a", 8, 2, null), host("b", 8, 8, "img")),
+            need(job("job-1", "roja", Priority.STANDARD, 1, 2), true, 1),
+            Set.of());
     assertEquals("b", Planner.plan(s).starts().get(0).machine());
   }
 
   @Test
   void fullestAmongEquals() {
     Snapshot s =
-        new Snapshot(
-            List.of(host("a", "z", 8, 8, null), host("b", "z", 8, 3, null)),
-            List.of(need(job("job-1", "roja", Priority.STANDARD, 1, 2), true, 1)),
-            List.of(),
-            teams(0),
-            10);
+        snapshot(
+            List.of(host("a", 8, 8, null), host("b", 8, 3, null)),
+            need(job("job-1", "roja", Priority.STANDARD, 1, 2), true, 1),
+            Set.of());
     assertEquals("b", Planner.plan(s).starts().get(0).machine());
   }
 
   @Test
   void lessUrgentWorkMakesRoom() {
-    Snapshot.Running low =
-        new Snapshot.Running("x", "a", "azul", 3, false, false, 4, 0, 1, 5);
-    Snapshot.Running same =
-        new Snapshot.Running("y", "a", "azul", 0, false, false, 4, 0, 1, 1);
+    Snapshot.Running low = running("job-8", "azul", Priority.BEST_EFFORT, 5);
+    Snapshot.Running same = running("job-9", "azul", Priority.CRITICAL, 1);
     Snapshot s =
-        new Snapshot(
-            List.of(host("a", "z", 8, 0, null)),
-            List.of(need(job("job-1", "roja", Priority.CRITICAL, 2, 4), false, 2)),
-            List.of(same, low),
-            teams(0),
-            10);
+        snapshot(
+            List.of(host("a", 8, 0, null, same, low)),
+            need(job("job-1", "roja", Priority.CRITICAL, 2, 4), false, 2),
+            Set.of("job-8", "job-9"));
     Plan plan = Planner.plan(s);
     assertEquals(List.of(low), plan.stops());
     assertTrue(plan.starts().isEmpty());
@@ -89,84 +95,111 @@
         new JobSpec(
             "job-1", "servicio", "roja", true, Priority.CRITICAL, 1, 4, 0, 1, "img", 3, null, null,
             false, false, false, 0, 0, 0, JobSpec.NO_DEADLINE);
-    Snapshot.Running low =
-        new Snapshot.Running("x", "b", "azul", 2, false, false, 4, 0, 1, 5);
+    Snapshot.Running low = running("job-8", "azul", Priority.STANDARD, 5);
     Plan plan =
         Planner.plan(
-            new Snapshot(
-                List.of(host("a", "z", 8, 8, null), host("b", "z", 4, 0, "img")),
-                List.of(need(service, true, 1)),
-                List.of(low),
-                teams(0),
-                10));
+            snapshot(
+                List.of(host("a", 8, 8, null), host("b", 4, 0, "img", low)),
+                need(service, true, 1),
+                Set.of("job-8")));
     assertEquals(List.of(low), plan.stops());
     assertTrue(plan.starts().isEmpty());
   }
 
   @Test
   void borrowedWorkMakesRoomForAGuarantee() {
-    Snapshot.Running borrowed =
-        new Snapshot.Running("x", "a", "azul", 2, true, false, 4, 0, 1, 5);
-    Snapshot.Running urgent =
-        new Snapshot.Running("y", "a", "azul", 1, true, false, 4, 0, 1, 5);
+    Snapshot.Running borrowed = running("job-8", "azul", Priority.STANDARD, 5);
+    Snapshot.Running urgent = running("job-9", "azul", Priority.URGENT, 5);
     JobSpec spec = job("job-1", "roja", Priority.STANDARD, 1, 4);
-    List<Snapshot.Host> hosts = List.of(host("a", "z", 4, 0, null));
+    List<Snapshot.Host> hosts = List.of(host("a", 4, 0, null, borrowed));
     assertEquals(
-        1,
-        Planner.plan(new Snapshot(hosts, List.of(need(spec, true, 1)), List.of(borrowed), teams(0), 9))
-            .stops()
-            .size());
+        1, Planner.plan(snapshot(hosts, need(spec, true, 1), Set.of())).stops().size());
     assertEquals(
-        0,
-        Planner.plan(new Snapshot(hosts, List.of(need(spec, false, 1)), List.of(borrowed), teams(0), 9))
-            .stops()
-            .size());
+        0, Planner.plan(snapshot(hosts, need(spec, false, 1), Set.of())).stops().size());
     // Borrowed work of higher priority would be placed first and take the room back.
     assertEquals(
         0,
-        Planner.plan(new Snapshot(hosts, List.of(need(spec, true, 1)), List.of(urgent), teams(0), 9))
+        Planner.plan(
+                snapshot(
+                    List.of(host("a", 4, 0, null, urgent)), need(spec, true, 1), Set.of()))
             .stops()
             .size());
   }
 
+  /** The short cuts change nothing: the plain planner chooses the same, also under preemption. */
+  @Test
+  void choosesWhatThePlainPlannerChooses() {
+    int stops = 0;
+    int starts = 0;
+    for (int seed = 0; seed < 2_000; seed++) {
+      Snapshot s = randomSnapshot(seed, 1 + seed % 30);
+      Plan plan = Planner.plan(s);
+      assertEquals(PlainPlanner.plan(s), plan, "seed " + seed);
+      stops += plan.stops().size();
+      starts += plan.starts().size();
+    }
+    assertTrue(stops > 1_000 && starts > 5_000, stops + " stops, " + starts + " starts");
+  }
+
   /** Random snapshots: no plan ever breaks a cap, a machine's size or a job's place rules. */
   @Test
   void randomPlansKeepEveryLimit() {
     for (int seed = 0; seed < 3_000; seed++) {
-      SplittableRandom r = new SplittableRandom(seed);
-      List<Snapshot.Host> hosts = new ArrayList<>();
-      for (int i = 0; i < 1 + r.nextInt(8); i++) {
-        hosts.add(
-            new Snapshot.Host(
-                "m" + i, r.nextBoolean() ? "mesa" : "torre", "z" + r.nextInt(3), r.nextBoolean(),
-                16, r.nextInt(17), r.nextInt(3), r.nextInt(40), 1, 20,
-                Set.of("img" + r.nextInt(3)), Set.of(), Map.of()));
-      }
-      List<Snapshot.Need> needs = new ArrayList<>();
-      for (int i = 0; i < 1 + r.nextInt(6); i++) {
-        int tasks = 1 + r.nextInt(9);
-        boolean apart = r.nextBoolean();
+      check(randomSnapshot(seed, 1 + seed % 8), seed);
+    }
+  }
+
+  private static Snapshot randomSnapshot(int seed, int machines) {
+    SplittableRandom r = new SplittableRandom(seed);
+    List<Snapshot.Host> hosts = new ArrayList<>();
+    Set<String> guaranteed = new HashSet<>();
+    for (int i = 0; i < machines; i++) {
+      List<Snapshot.Running> running = new ArrayList<>();
+      for (int k = r.nextInt(5); k > 0; k--) {
         JobSpec spec =
-            new JobSpec(
-                "job-" + i, "lote", r.nextBoolean() ? "roja" : "azul", r.nextBoolean(),
-                Priority.values()[r.nextInt(4)], tasks, r.nextInt(5), r.nextInt(2), r.nextInt(8),
-                "img" + r.nextInt(3), 1, r.nextBoolean() ? null : List.of("torre"),
-                r.nextInt(4) == 0 ? "z1" : null, !apart && r.nextBoolean(), apart, r.nextBoolean(),
-                5, 0, 0, JobSpec.NO_DEADLINE);
-        Map<String, Integer> zones =
-            r.nextInt(3) == 0 ? Map.of("z" + r.nextInt(3), 1) : Map.of();
-        List<Integer> list = new ArrayList<>();
-        for (int t = zones.isEmpty() ? 0 : 1; t < tasks; t++) {
-          list.add(t);
+            job(
+                "job-9" + i + k,
+                r.nextBoolean() ? "roja" : "azul",
+                Priority.values()[r.nextInt(4)],
+                1,
+                1 + r.nextInt(4));
+        if (r.nextBoolean()) {
+          guaranteed.add(spec.id());
         }
-        needs.add(new Snapshot.Need(spec, list, zones, r.nextBoolean(), r.nextBoolean(), 1, i));
+        running.add(
+            new Snapshot.Running(
+                spec, 0, k, "m" + i, r.nextInt(5) == 0, spec.cpus(), 0, spec.memGb(),
+                r.nextInt(6) == 0 ? -1 : NOW_MS - r.nextInt(20) * 500L));
+      }
+      hosts.add(
+          new Snapshot.Host(
+              "m" + i, r.nextBoolean() ? "mesa" : "torre", "z" + r.nextInt(3), r.nextBoolean(), 16,
+              r.nextInt(4) == 0 ? r.nextInt(17) : r.nextInt(3), r.nextInt(3), r.nextInt(40), 1, 20,
+              Set.of("img" + r.nextInt(3)), Set.of(), Map.of("lote", r.nextInt(3)), running));
+    }
+    List<Snapshot.Need> needs = new ArrayList<>();
+    for (int i = 0; i < 1 + r.nextInt(6); i++) {
+      int tasks = 1 + r.nextInt(9);
+      boolean apart = r.nextInt(3) == 0;
+      JobSpec spec =
+          new JobSpec(
+              "job-" + i, "lote", r.nextBoolean() ? "roja" : "azul", r.nextBoolean(),
+              Priority.values()[r.nextInt(4)], tasks, r.nextInt(5), r.nextInt(4) / 3, r.nextInt(8),
+              "img" + r.nextInt(3), 2, r.nextBoolean() ? null : List.of("torre"),
+              r.nextInt(4) == 0 ? "z1" : null, !apart && r.nextInt(3) == 0, apart, r.nextBoolean(),
+              5, 0, 0, JobSpec.NO_DEADLINE);
+      Map<String, Integer> zones = r.nextInt(3) == 0 ? Map.of("z" + r.nextInt(3), 1) : Map.of();
+      List<Integer> list = new ArrayList<>();
+      for (int t = zones.isEmpty() ? 0 : 1; t < tasks; t++) {
+        list.add(t);
       }
-      Map<String, Snapshot.Use> teams =
-          Map.of(
-              "roja", new Snapshot.Use(3, 0, 5 + r.nextInt(20), 2),
-              "azul", new Snapshot.Use(0, 0, 5 + r.nextInt(20), 2));
-      check(new Snapshot(hosts, needs, List.of(), teams, 1 + r.nextInt(30)), seed);
+      needs.add(new Snapshot.Need(spec, list, zones, r.nextBoolean(), r.nextBoolean(), 1, i));
     }
+    Map<String, Snapshot.Use> teams =
+        Map.of(
+            "roja", new Snapshot.Use(3, 0, 5 + r.nextInt(40), 2),
+            "azul", new Snapshot.Use(0, 0, 5 + r.nextInt(40), 2));
+    return new Snapshot(hosts, needs, guaranteed, teams, NOW_MS, 1 + r.nextInt(30));
   }
 
   private static void check(Snapshot s, int seed) {
