--- a/src/main/java/fennelthread/Constants.java
+++ b/src/main/java/fennelthread/Constants.java
@@ -230,6 +230,18 @@
   /** Connection attempts to one address at a time: a dead peer hangs instead of refusing. */
   public static final int CONNECTING_PER_ADDRESS = 4;
 
+  /** Sockets that attempts to one address may hold, those that were given up included. */
+  public static final int OPENING_PER_ADDRESS = 6;
+
+  /** How long a connection attempt counts as under way, ms: it is answered in a few if at all. */
+  public static final long CONNECT_TIMEOUT_MS = 5_000;
+
+  /**
+   * Part of the process's sockets that our own connections may take: the workers' connections, the
+   * users' and the siblings' need the rest.
+   */
+  public static final double OUTBOUND_SHARE = 0.25;
+
   /** Largest answer that is read, bytes: watches have no limit, so this only guards memory. */
   public static final int MAX_ANSWER_BYTES = 8 * 1024 * 1024;
 
--- a/src/main/java/fennelthread/cli/Serve.java
+++ b/src/main/java/fennelthread/cli/Serve.java
@@ -1,9 +1,13 @@
 package fennelthread.cli;
 
+import fennelthread.Constants;
 import fennelthread.Controller;
 import fennelthread.net.XnioHost;
 import fennelthread.settings.Options;
 import fennelthread.settings.Settings;
+import java.io.IOException;
+import java.util.HashSet;
+import java.util.Set;
 import java.util.concurrent.Callable;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Mixin;
@@ -29,17 +33,29 @@
   static int serve(SettingsFiles files) throws Exception {
     Settings settings = files.loadSettings();
     Options options = files.loadOptions();
-    XnioHost host = new XnioHost();
-    host.run(
-        () -> {
-          Controller controller = new Controller(host, settings, options);
-          host.listen(
-              settings.apiAddr(), controller.api(), settings.meshAddr(), controller.mesh());
-          controller.start();
-        });
+    XnioHost host = hostFor(settings);
+    host.run(() -> start(host, settings, options));
     return KEEP_RUNNING;
   }
 
+  /** The machine below a controller with these settings. */
+  static XnioHost hostFor(Settings settings) throws IOException {
+    Set<String> essential = new HashSet<>();
+    essential.add(settings.stateAddr());
+    essential.add(settings.cloudAddr());
+    settings.siblings().forEach(s -> essential.add(s.addr()));
+    return new XnioHost(
+        (int) (settings.maxConnections() * Constants.OUTBOUND_SHARE), essential);
+  }
+
+  /** Sets a controller going; on the host's thread. */
+  static Controller start(XnioHost host, Settings settings, Options options) {
+    Controller controller = new Controller(host, settings, options);
+    host.listen(settings.apiAddr(), controller.api(), settings.meshAddr(), controller.mesh());
+    controller.start();
+    return controller;
+  }
+
   /** The same under its own name. */
   @Command(
       name = "serve",
--- a/src/main/java/fennelthread/cli/Train.java
+++ b/src/main/java/fennelthread/cli/Train.java
@@ -68,14 +68,11 @@
     Settings settings = Settings.load(file);
     Options options = Options.parse("training", "(fennelthread (max-machines 1))");
     Files.delete(file);
-    XnioHost host = new XnioHost();
+    XnioHost host = Serve.hostFor(settings);
     CountDownLatch answers = new CountDownLatch(5);
     host.run(
         () -> {
-          Controller controller = new Controller(host, settings, options);
-          host.listen(
-              settings.apiAddr(), controller.api(), settings.meshAddr(), controller.mesh());
-          controller.start();
+          Controller controller = Serve.start(host, settings, options);
           JobSpec spec =
               new JobSpec(
                   "job-000001", "c", "team", false, Priority.STANDARD, 1, 1, 0, 1, "i", 1, null,
--- a/src/main/java/fennelthread/net/XnioHost.java
+++ b/src/main/java/fennelthread/net/XnioHost.java
@@ -24,7 +24,9 @@
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.Map;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -51,12 +53,24 @@
   private final ByteBufferPool buffers = new DefaultByteBufferPool(false, 4096, 64, 4);
   private final UndertowClient client = UndertowClient.getInstance();
   private final Map<String, Peer> peers = new HashMap<>();
+  private final int mostOutbound;
+  private final Set<String> essential;
+  private final Set<Link> idle = new LinkedHashSet<>();
+  private final ArrayDeque<Peer> starved = new ArrayDeque<>();
+  private int outbound;
   private final RandomGenerator random = new SplittableRandom();
   private final long startNanos = System.nanoTime();
   private Undertow server;
 
-  /** Creates the host with its thread; nothing listens yet. */
-  public XnioHost() throws IOException {
+  /**
+   * Creates the host with its thread; nothing listens yet.
+   *
+   * @param mostOutbound how many connections to others there may be at once
+   * @param essential addresses whose connections never wait for room among them
+   */
+  public XnioHost(int mostOutbound, Set<String> essential) throws IOException {
+    this.mostOutbound = mostOutbound;
+    this.essential = essential;
     worker =
         Xnio.getInstance()
             .createWorker(
@@ -211,20 +225,30 @@
 
   // ---------------------------------------------------------------- client
 
-  private static final class Idle {
+  /** A connection of ours; it counts against the bound until it is closed. */
+  private static final class Link {
     final ClientConnection connection;
-    final long sinceMs;
+    final Peer peer;
+    long idleSinceMs;
+    boolean counted = true;
 
-    Idle(ClientConnection connection, long sinceMs) {
+    Link(ClientConnection connection, Peer peer) {
       this.connection = connection;
-      this.sinceMs = sinceMs;
+      this.peer = peer;
     }
   }
 
   private static final class Peer {
-    final ArrayDeque<Idle> idle = new ArrayDeque<>();
+    final String address;
+    final ArrayDeque<Link> idle = new ArrayDeque<>();
     final ArrayDeque<Pending> waiting = new ArrayDeque<>();
     int connecting;
+    int opening;
+    boolean starved;
+
+    Peer(String address) {
+      this.address = address;
+    }
   }
 
   /** One call under way, answered exactly once. */
@@ -233,7 +257,7 @@
     final Call call;
     final Consumer<Answer> done;
     Cancellable timer;
-    ClientConnection connection;
+    Link link;
     boolean over;
 
     Pending(String address, Call call, Consumer<Answer> done) {
@@ -248,11 +272,11 @@
       }
       over = true;
       timer.cancel();
-      if (connection != null) {
-        if (reusable && connection.isOpen()) {
-          keep(address, connection);
+      if (link != null) {
+        if (reusable && link.connection.isOpen()) {
+          keep(link);
         } else {
-          IoUtils.safeClose(connection);
+          close(link);
         }
       }
       try {
@@ -263,18 +287,51 @@
     }
   }
 
-  private void keep(String address, ClientConnection connection) {
-    Peer peer = peers.computeIfAbsent(address, a -> new Peer());
+  private void keep(Link link) {
+    Pending next = nextWaiting(link.peer);
+    if (next != null) {
+      send(next, link);
+    } else if (link.peer.idle.size() < Constants.IDLE_PER_ADDRESS && starved.isEmpty()) {
+      link.idleSinceMs = nowMs();
+      link.peer.idle.push(link);
+      idle.add(link);
+    } else {
+      close(link);
+    }
+  }
+
+  private static Pending nextWaiting(Peer peer) {
     Pending next = peer.waiting.poll();
     while (next != null && next.over) {
       next = peer.waiting.poll();
     }
-    if (next != null) {
-      send(next, connection);
-    } else if (peer.idle.size() < Constants.IDLE_PER_ADDRESS) {
-      peer.idle.push(new Idle(connection, nowMs()));
-    } else {
-      IoUtils.safeClose(connection);
+    return next;
+  }
+
+  private void close(Link link) {
+    forget(link);
+    IoUtils.safeClose(link.connection);
+  }
+
+  /** A connection no longer counts: another that waited for room may be opened. */
+  private void forget(Link link) {
+    idle.remove(link);
+    link.peer.idle.remove(link);
+    if (link.counted) {
+      link.counted = false;
+      outbound--;
+      feedStarved();
+    }
+  }
+
+  private void feedStarved() {
+    while (outbound < mostOutbound && !starved.isEmpty()) {
+      Peer peer = starved.poll();
+      peer.starved = false;
+      peer.waiting.removeIf(p -> p.over);
+      if (!peer.waiting.isEmpty()) {
+        open(peer);
+      }
     }
   }
 
@@ -282,29 +339,52 @@
   public void call(String address, Call call, long timeoutMs, Consumer<Answer> done) {
     Pending p = new Pending(address, call, done);
     p.timer = after(timeoutMs, () -> p.finish(null, false));
-    Peer peer = peers.computeIfAbsent(address, a -> new Peer());
+    Peer peer = peers.computeIfAbsent(address, Peer::new);
     while (!peer.idle.isEmpty()) {
-      Idle idle = peer.idle.pop();
-      if (idle.connection.isOpen() && nowMs() - idle.sinceMs < Constants.IDLE_MS) {
-        send(p, idle.connection);
+      Link link = peer.idle.pop();
+      idle.remove(link);
+      if (link.connection.isOpen() && nowMs() - link.idleSinceMs < Constants.IDLE_MS) {
+        send(p, link);
         return;
       }
-      IoUtils.safeClose(idle.connection);
+      close(link);
     }
     peer.waiting.add(p);
-    if (peer.connecting < Constants.CONNECTING_PER_ADDRESS) {
-      connect(address, peer);
+    open(peer);
+  }
+
+  /**
+   * Opens a connection if there is room: hundreds of workers' own connections and the users' share
+   * the process's sockets with ours, and past the limit nobody gets in any more.
+   */
+  private void open(Peer peer) {
+    if (peer.connecting >= Constants.CONNECTING_PER_ADDRESS
+        || peer.opening >= Constants.OPENING_PER_ADDRESS) {
+      return;
+    }
+    if (outbound >= mostOutbound && !essential.contains(peer.address)) {
+      if (idle.isEmpty()) {
+        if (!peer.starved) {
+          peer.starved = true;
+          starved.add(peer);
+        }
+        return;
+      }
+      close(idle.iterator().next());
     }
+    connect(peer);
   }
 
-  private void connect(String address, Peer peer) {
+  private void connect(Peer peer) {
     peer.connecting++;
+    peer.opening++;
+    outbound++;
     boolean[] over = new boolean[1];
     // A peer without power never refuses: after a while the attempt no longer counts, and a later
-    // call makes a fresh one.
+    // call makes a fresh one. Its socket is taken until the system gives up, though.
     Cancellable giveUp =
         after(
-            Constants.CLOUD_TIMEOUT_MS,
+            Constants.CONNECT_TIMEOUT_MS,
             () -> {
               if (!over[0]) {
                 over[0] = true;
@@ -313,50 +393,49 @@
             });
     client.connect(
         new ClientCallback<>() {
-          @Override
-          public void completed(ClientConnection connection) {
+          private void ended() {
+            peer.opening--;
             if (!over[0]) {
               over[0] = true;
               peer.connecting--;
               giveUp.cancel();
             }
-            connection
-                .getCloseSetter()
-                .set(
-                    c -> {
-                      peer.idle.removeIf(i -> i.connection == connection);
-                    });
-            keep(address, connection);
+          }
+
+          @Override
+          public void completed(ClientConnection connection) {
+            ended();
+            Link link = new Link(connection, peer);
+            connection.getCloseSetter().set(c -> forget(link));
+            keep(link);
           }
 
           @Override
           public void failed(IOException e) {
-            if (over[0]) {
+            boolean late = over[0];
+            ended();
+            outbound--;
+            feedStarved();
+            if (late) {
               return;
             }
-            over[0] = true;
-            peer.connecting--;
-            giveUp.cancel();
-            Pending p = peer.waiting.poll();
-            while (p != null && p.over) {
-              p = peer.waiting.poll();
-            }
+            Pending p = nextWaiting(peer);
             if (p != null) {
               p.finish(null, false);
             }
             if (!peer.waiting.isEmpty() && peer.connecting == 0) {
-              connect(address, peer);
+              open(peer);
             }
           }
         },
-        URI.create("http://" + address),
+        URI.create("http://" + peer.address),
         thread,
         buffers,
         OptionMap.create(Options.TCP_NODELAY, true));
   }
 
-  private void send(Pending p, ClientConnection connection) {
-    p.connection = connection;
+  private void send(Pending p, Link link) {
+    p.link = link;
     byte[] body = p.call.body();
     ClientRequest request =
         new ClientRequest()
@@ -368,7 +447,7 @@
     if (body != null) {
       request.getRequestHeaders().put(Headers.CONTENT_TYPE, p.call.codec().contentType());
     }
-    connection.sendRequest(
+    link.connection.sendRequest(
         request,
         new ClientCallback<>() {
           @Override
--- a/src/main/java/fennelthread/settings/Options.java
+++ b/src/main/java/fennelthread/settings/Options.java
@@ -3,6 +3,7 @@
 import de.tudresden.inf.lat.jsexp.Sexp;
 import de.tudresden.inf.lat.jsexp.SexpFactory;
 import de.tudresden.inf.lat.jsexp.SexpParserException;
+import fennelthread.Constants;
 import java.io.IOException;
 import java.io.StringReader;
 import java.nio.file.Files;
@@ -20,9 +21,13 @@
 public record Options(
     long grantMs, long roundGapMs, int maxMachines, double spare, long idleReturnMs) {
 
-  /** What holds without a file; {@code grantMs} 0 means a share of the workers' lease. */
+  /**
+   * What holds without a file; {@code grantMs} 0 means a share of the workers' lease. The number of
+   * machines is bounded by demand and by the cloud's refusals: a default below a fleet once kept
+   * lost machines from being replaced.
+   */
   public static final Options DEFAULTS =
-      new Options(0, fennelthread.Constants.ROUND_GAP_MS, 200, 2.0, 900_000);
+      new Options(0, Constants.ROUND_GAP_MS, Integer.MAX_VALUE, 2.0, 900_000);
 
   /** Reads and checks a file. */
   public static Options load(Path file) throws SettingsException {
--- a/src/test/java/fennelthread/sim/CloudStandIn.java
+++ b/src/test/java/fennelthread/sim/CloudStandIn.java
@@ -33,15 +33,19 @@
   private int seq;
 
   CloudStandIn(
-      World world, WorkerStandIn.Surroundings surroundings, Consumer<WorkerStandIn> onWorker) {
+      World world,
+      WorkerStandIn.Surroundings surroundings,
+      Consumer<WorkerStandIn> onWorker,
+      int small,
+      int big) {
     this.world = world;
     this.surroundings = surroundings;
     this.onWorker = onWorker;
     for (String zone : List.of("norte", "sur")) {
-      left.put("mesa" + zone + false, 6);
-      left.put("mesa" + zone + true, 3);
-      left.put("torre" + zone + false, 2);
-      left.put("torre" + zone + true, 1);
+      left.put("mesa" + zone + false, small);
+      left.put("mesa" + zone + true, small / 2);
+      left.put("torre" + zone + false, big);
+      left.put("torre" + zone + true, big / 2);
     }
     snapshot();
   }
--- a/src/test/java/fennelthread/sim/Cluster.java
+++ b/src/test/java/fennelthread/sim/Cluster.java
@@ -38,21 +38,31 @@
   }
 
   Cluster(long seed, double teamCap) {
+    this(seed, teamCap, 6, 1, new Settings.State(500, 200, 8 * 1024, 8));
+  }
+
+  /** A cluster of so many small machines at the start, with ordinary limits at the state service. */
+  static Cluster large(long seed, int machines) {
+    return new Cluster(
+        seed, machines * 8, machines, machines / 20, new Settings.State(150, 50, 8 * 1024, 16));
+  }
+
+  private Cluster(long seed, double teamCap, int small, int big, Settings.State limits) {
     world = new World(seed);
     for (int i = 0; i < 3; i++) {
       addresses.put("nodo-" + i, "10.0.0." + (i + 1) + ":8080");
     }
     Map<String, Settings.Team> teams = new TreeMap<>();
-    teams.put("roja", new Settings.Team("roja", 24, teamCap, 2, 4));
-    teams.put("azul", new Settings.Team("azul", 16, teamCap, 0, 2));
-    settings = settingsOf("nodo-0", teams);
+    teams.put("roja", new Settings.Team("roja", small * 4, teamCap, 2, 4));
+    teams.put("azul", new Settings.Team("azul", small * 8 / 3, teamCap, 0, 2));
+    settings = settingsOf("nodo-0", teams, limits);
     rules = new Rules(world, settings);
     World.Process stateProcess = world.new Process("state");
-    state = new StateStandIn(world, stateProcess, 8, 8 * 1024);
+    state = new StateStandIn(world, stateProcess, settings.state());
     stateProcess.listen(STATE, state);
     world.name(STATE, "state");
     World.Process cloudProcess = world.new Process("cloud");
-    cloud = new CloudStandIn(world, this, w -> {});
+    cloud = new CloudStandIn(world, this, w -> {}, small, Math.max(2, big));
     cloudProcess.listen(CLOUD, cloud);
     world.name(CLOUD, "cloud");
     users = world.new Process("users");
@@ -61,10 +71,12 @@
       world.name(meshOf(member), member);
       start(member);
     }
-    for (int i = 0; i < 5; i++) {
+    for (int i = 0; i < small - 1; i++) {
       cloud.rent("mesa", i % 2 == 0 ? "norte" : "sur", false, 0);
     }
-    cloud.rent("torre", "norte", false, 0);
+    for (int i = 0; i < big; i++) {
+      cloud.rent("torre", "norte", false, 0);
+    }
     world.afterEach(rules::check);
     state.onWrite.add(this::checkFence);
   }
@@ -73,7 +85,8 @@
     return "10.0.0." + (member.charAt(member.length() - 1) - '0' + 1) + ":8081";
   }
 
-  private static Settings settingsOf(String member, Map<String, Settings.Team> teams) {
+  private static Settings settingsOf(
+      String member, Map<String, Settings.Team> teams, Settings.State limits) {
     List<Settings.Sibling> siblings = new ArrayList<>();
     for (int i = 0; i < 3; i++) {
       String other = "nodo-" + i;
@@ -93,7 +106,7 @@
         teams,
         List.of(new Settings.Objective("wait", "servicio", 1, 0.9)),
         new Settings.Workers(1_500, 10_000, 30_000),
-        new Settings.State(500, 200, 8 * 1024, 8),
+        limits,
         new Settings.Cloud(5, 2_000),
         500);
   }
@@ -101,7 +114,7 @@
   void start(String member) {
     World.Process process = world.new Process(member);
     Controller controller =
-        new Controller(process, settingsOf(member, settings.teams()), Options.DEFAULTS);
+        new Controller(process, settingsOf(member, settings.teams(), settings.state()), Options.DEFAULTS);
     process.listen(addresses.get(member), controller.api());
     process.listen(meshOf(member), controller.mesh());
     processes.put(member, process);
--- a/src/test/java/fennelthread/sim/Rules.java
+++ b/src/test/java/fennelthread/sim/Rules.java
@@ -80,6 +80,11 @@
     return text + "services " + services;
   }
 
+  /** How many tasks are on machines. */
+  int running() {
+    return where.size();
+  }
+
   int running(String id) {
     int n = 0;
     for (String task : where.keySet()) {
--- a/src/test/java/fennelthread/sim/StateStandIn.java
+++ b/src/test/java/fennelthread/sim/StateStandIn.java
@@ -3,6 +3,7 @@
 import fennelthread.net.Answer;
 import fennelthread.net.Request;
 import fennelthread.net.Service;
+import fennelthread.settings.Settings;
 import fennelthread.wire.Codec;
 import fennelthread.wire.Fields;
 import fennelthread.wire.WireException;
@@ -38,6 +39,14 @@
   private final World.Process process;
   private final int txnOps;
   private final int valueBytes;
+  private final double rps;
+  private final double writeRps;
+  private double requestsLeft;
+  private double writesLeft;
+  private long filledAt;
+
+  /** Requests that were above a limit. */
+  int refusedAsTooMany;
   private final TreeMap<String, Item> items = new TreeMap<>();
   private final Map<Long, Grant> grants = new HashMap<>();
   private final List<Change> log = new ArrayList<>();
@@ -50,11 +59,13 @@
   /** Called with each key that a transaction writes, right after it was applied. */
   final List<Consumer<String>> onWrite = new ArrayList<>();
 
-  StateStandIn(World world, World.Process process, int txnOps, int valueBytes) {
+  StateStandIn(World world, World.Process process, Settings.State limits) {
     this.world = world;
     this.process = process;
-    this.txnOps = txnOps;
-    this.valueBytes = valueBytes;
+    this.txnOps = limits.txnOps();
+    this.valueBytes = limits.valueBytes();
+    this.rps = limits.rps();
+    this.writeRps = limits.writeRps();
     expire();
   }
 
@@ -133,6 +144,15 @@
       reply.accept(Answer.error(503, "trouble"));
       return;
     }
+    requestsLeft = Math.min(rps, requestsLeft + (world.now() - filledAt) * rps / 1000);
+    writesLeft = Math.min(writeRps, writesLeft + (world.now() - filledAt) * writeRps / 1000);
+    filledAt = world.now();
+    if (requestsLeft < 1) {
+      refusedAsTooMany++;
+      reply.accept(Answer.error(429, "too many requests"));
+      return;
+    }
+    requestsLeft--;
     try {
       if (path.startsWith("/keys/")) {
         get(path.substring("/keys/".length()), reply);
@@ -229,6 +249,12 @@
     if (then.size() > txnOps || when.size() > txnOps * 4) {
       throw new WireException("then", "too many");
     }
+    if (then.size() > writesLeft) {
+      refusedAsTooMany++;
+      reply.accept(Answer.error(429, "too many changes"));
+      return;
+    }
+    writesLeft -= then.size();
     Set<String> touched = new LinkedHashSet<>();
     for (Fields f : then) {
       String key = f.has("write") ? f.text("write") : f.text("remove");
--- a/src/test/java/fennelthread/sim/World.java
+++ b/src/test/java/fennelthread/sim/World.java
@@ -5,6 +5,7 @@
 import fennelthread.net.Host;
 import fennelthread.net.Request;
 import fennelthread.net.Service;
+import java.lang.management.ManagementFactory;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -18,6 +19,9 @@
 
 /** Simulated time, processes and a network that delays, loses, holds back and delivers late. */
 final class World {
+  private static final com.sun.management.ThreadMXBean MEMORY =
+      (com.sun.management.ThreadMXBean) ManagementFactory.getThreadMXBean();
+
   private record Event(long at, long seq, Runnable task) {}
 
   private final PriorityQueue<Event> events =
@@ -33,6 +37,16 @@
   private long now;
   private long seq;
 
+  /** What handling one kind of event has cost in a process, in real time. */
+  static final class Cost {
+    long events;
+    long nanos;
+    long bytes;
+  }
+
+  /** Costs by process and kind of event, if they are to be measured; null otherwise. */
+  Map<String, Cost> costs;
+
   World(long seed) {
     random = new SplittableRandom(seed);
   }
@@ -147,15 +161,25 @@
       pausedUntil = Math.max(pausedUntil, now + forMs);
     }
 
-    private void enter(Runnable task) {
+    private void enter(String kind, Runnable task) {
       if (!alive) {
         return;
       }
       if (now < pausedUntil) {
-        at(pausedUntil, () -> enter(task));
+        at(pausedUntil, () -> enter(kind, task));
+        return;
+      }
+      if (costs == null) {
+        task.run();
         return;
       }
+      long bytes = MEMORY.getCurrentThreadAllocatedBytes();
+      long start = System.nanoTime();
       task.run();
+      Cost cost = costs.computeIfAbsent(name + " " + kind, k -> new Cost());
+      cost.events++;
+      cost.nanos += System.nanoTime() - start;
+      cost.bytes += MEMORY.getCurrentThreadAllocatedBytes() - bytes;
     }
 
     @Override
@@ -175,6 +199,7 @@
           Math.max(0, delayMs),
           () ->
               enter(
+                  "timer",
                   () -> {
                     if (!off[0]) {
                       task.run();
@@ -209,11 +234,12 @@
             if (target == null) {
               if (random.nextBoolean()) {
                 // Refused; the other half of the time, a machine without power stays silent.
-                enter(() -> finish(over, done, null));
+                enter("answer", () -> finish(over, done, null));
               }
               return;
             }
             target.enter(
+                call.path(),
                 () -> {
                   Service service = target.services.get(address);
                   target.caller = name;
@@ -225,6 +251,7 @@
                               name,
                               () ->
                                   enter(
+                                      "answer",
                                       () ->
                                           finish(
                                               over,
