--- a/src/main/java/fennelthread/cli/Main.java
+++ b/src/main/java/fennelthread/cli/Main.java
@@ -1,6 +1,7 @@
 package fennelthread.cli;
 
 import fennelthread.settings.SettingsException;
+import java.nio.file.Path;
 import java.util.Locale;
 import picocli.CommandLine;
 
@@ -14,21 +15,49 @@
   /** Starts the program. */
   public static void main(String[] args) {
     configureLogging(System.getenv("LOG_LEVEL"));
+    int code = run(args);
+    if (code != Serve.KEEP_RUNNING) {
+      System.exit(code);
+    }
+  }
+
+  /** Runs a command: its exit code, or {@link Serve#KEEP_RUNNING}. */
+  static int run(String... args) {
+    if (args.length == 2 && args[0].equals("--config") && !args[1].startsWith("-")) {
+      return serveAtOnce(Path.of(args[1]));
+    }
     CommandLine line = new CommandLine(new Serve());
     line.setExecutionExceptionHandler(
         (e, commandLine, parsed) -> {
           if (e instanceof SettingsException) {
-            System.err.println(e.getMessage());
-            return EXIT_USAGE;
+            return refuse(e);
           }
           throw e;
         });
-    int code = line.execute(args);
-    if (code != Serve.KEEP_RUNNING) {
-      System.exit(code);
+    return line.execute(args);
+  }
+
+  /**
+   * The form in which deployments start controllers, without picocli: its classes are in a format
+   * that the class-data archive can't hold and take a good part of a start. When all controllers
+   * crash together, the workers' leases leave no time for that.
+   */
+  private static int serveAtOnce(Path config) {
+    try {
+      return Serve.serve(new SettingsFiles(config));
+    } catch (SettingsException e) {
+      return refuse(e);
+    } catch (Exception e) {
+      e.printStackTrace();
+      return CommandLine.ExitCode.SOFTWARE;
     }
   }
 
+  private static int refuse(Exception e) {
+    System.err.println(e.getMessage());
+    return EXIT_USAGE;
+  }
+
   /** Must run before the first logger is made. */
   private static void configureLogging(String level) {
     String wanted = level == null ? "info" : level.toLowerCase(Locale.ROOT);
--- a/src/main/java/fennelthread/cli/SettingsFiles.java
+++ b/src/main/java/fennelthread/cli/SettingsFiles.java
@@ -20,6 +20,13 @@
       description = "The operators' own settings, an S-expression.")
   Path settings;
 
+  /** For picocli, which fills the fields in. */
+  SettingsFiles() {}
+
+  SettingsFiles(Path config) {
+    this.config = config;
+  }
+
   Settings loadSettings() throws SettingsException {
     // Not marked as required: the option also stands at the program's top level, where picocli
     // would ask for it before every subcommand.
--- a/src/main/java/fennelthread/settings/Settings.java
+++ b/src/main/java/fennelthread/settings/Settings.java
@@ -1,7 +1,12 @@
 package fennelthread.settings;
 
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.dataformat.toml.TomlMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.fasterxml.jackson.dataformat.toml.TomlFactory;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -64,8 +69,9 @@
   /** Reads and checks a file. */
   public static Settings load(Path file) throws SettingsException {
     JsonNode root;
-    try {
-      root = new TomlMapper().readTree(Files.readString(file));
+    try (JsonParser parser = new TomlFactory().createParser(Files.readString(file))) {
+      parser.nextToken();
+      root = tree(parser);
     } catch (IOException e) {
       String why = e.getMessage() == null ? e.toString() : e.getMessage().lines().findFirst().orElse("");
       throw new SettingsException(file + ": can't be read: " + why);
@@ -73,6 +79,41 @@
     return new Reader(file.toString(), root).settings();
   }
 
+  /** Builds the tree by hand: a mapper would load hundreds of classes more at each start. */
+  private static JsonNode tree(JsonParser parser) throws IOException {
+    JsonNodeFactory nodes = JsonNodeFactory.instance;
+    switch (parser.currentToken()) {
+      case START_OBJECT -> {
+        ObjectNode object = nodes.objectNode();
+        while (parser.nextToken() == JsonToken.FIELD_NAME) {
+          String name = parser.currentName();
+          parser.nextToken();
+          object.set(name, tree(parser));
+        }
+        return object;
+      }
+      case START_ARRAY -> {
+        ArrayNode array = nodes.arrayNode();
+        while (parser.nextToken() != JsonToken.END_ARRAY) {
+          array.add(tree(parser));
+        }
+        return array;
+      }
+      case VALUE_NUMBER_INT -> {
+        return nodes.numberNode(parser.getBigIntegerValue());
+      }
+      case VALUE_NUMBER_FLOAT -> {
+        return nodes.numberNode(parser.getDoubleValue());
+      }
+      case VALUE_TRUE, VALUE_FALSE -> {
+        return nodes.booleanNode(parser.getBooleanValue());
+      }
+      default -> {
+        return nodes.textNode(parser.getText());
+      }
+    }
+  }
+
   private record Reader(String file, JsonNode root) {
 
     Settings settings() throws SettingsException {
--- /dev/null
+++ b/src/test/java/fennelthread/cli/MainTest.java
@@ -0,0 +1,41 @@
+package fennelthread.cli;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+class MainTest {
+  @TempDir Path folder;
+
+  /** The form that deployments use is read without picocli; it must refuse in the same words. */
+  @Test
+  void bothWaysToServeRefuseAlike() throws Exception {
+    Path empty = Files.writeString(folder.resolve("empty.toml"), "");
+    Path broken = Files.writeString(folder.resolve("broken.toml"), "member = ");
+    for (Path file : new Path[] {empty, broken, folder.resolve("none.toml"), folder}) {
+      String plain = refusal("--config", file.toString());
+      assertEquals(plain, refusal("serve", "--config", file.toString()));
+      assertTrue(plain.startsWith(file.toString()), plain);
+      assertEquals(1, plain.lines().count(), plain);
+    }
+  }
+
+  private static String refusal(String... args) {
+    PrintStream before = System.err;
+    ByteArrayOutputStream text = new ByteArrayOutputStream();
+    System.setErr(new PrintStream(text, true, StandardCharsets.UTF_8));
+    try {
+      assertEquals(Main.EXIT_USAGE, Main.run(args));
+    } finally {
+      System.setErr(before);
+    }
+    return text.toString(StandardCharsets.UTF_8);
+  }
+}
