--- a/src/main/java/fennelthread/Constants.java
+++ b/src/main/java/fennelthread/Constants.java
@@ -188,6 +188,9 @@
   /** Longest such pause, ms. */
   public static final long TASK_PAUSE_MOST_MS = 60_000;
 
+  /** A job late by this many times the last time set for it no longer stands back for others. */
+  public static final double LATE_PATIENCE = 3;
+
   /** How long demand is remembered when deciding what to rent, ms. */
   public static final long DEMAND_WINDOW_MS = 180_000;
 
--- a/src/main/java/fennelthread/lead/Term.java
+++ b/src/main/java/fennelthread/lead/Term.java
@@ -644,23 +644,44 @@
 
   private Snapshot.Need need(Run run, List<Integer> tasks, Set<String> guaranteed) {
     JobSpec spec = run.job().spec();
-    double slack = Double.MAX_VALUE;
-    if (spec.deadlineS() != JobSpec.NO_DEADLINE) {
-      slack =
-          spec.deadlineS()
-              - (host.wallMs() - run.job().acceptedWallMs()) / 1000.0
-              - estimate(spec);
-    }
+    double age = (host.wallMs() - run.job().acceptedWallMs()) / 1000.0;
+    double takes = estimate(spec);
+    double slack = slackS(spec, age, takes);
     return new Snapshot.Need(
         spec,
         tasks,
         spec.onePlace() || spec.apart() ? zonesOf(run) : Map.of(),
-        guaranteed.contains(spec.id()),
+        slack >= 0 && guaranteed.contains(spec.id()),
         spec.service() || settings.waitsMatter(spec.jobClass()),
+        slack < 0,
         slack,
+        tasks.size() * Math.max(0.1, spec.cpus()) * Math.max(1, takes),
         run.order());
   }
 
+  /**
+   * What is left to the next of the times that the job's deadline and the objectives set, or less
+   * than 0 if it is too late for all of them. A job that has been late for long counts as in time
+   * again: it must not wait for ever.
+   */
+  private double slackS(JobSpec spec, double ageS, double takesS) {
+    if (spec.service()) {
+      return Double.MAX_VALUE;
+    }
+    double last = 0;
+    double next = Double.MAX_VALUE;
+    for (double at : settings.doneByS(spec.jobClass(), spec.deadlineS())) {
+      last = Math.max(last, at);
+      if (at - ageS - takesS >= 0) {
+        next = Math.min(next, at);
+      }
+    }
+    if (next != Double.MAX_VALUE) {
+      return next - ageS - takesS;
+    }
+    return last == 0 || ageS > last * Constants.LATE_PATIENCE ? Double.MAX_VALUE : last - ageS - takesS;
+  }
+
   private JobSpec liveSpec(String job) {
     Run run = runs.get(job);
     return run == null ? null : run.job().spec();
--- a/src/main/java/fennelthread/plan/Planner.java
+++ b/src/main/java/fennelthread/plan/Planner.java
@@ -36,6 +36,18 @@
   /** Above any score of a machine that has the image. */
   private static final double NOT_CACHED = 1_000;
 
+  /**
+   * The order of placement. Users count jobs that are done in time: when there is not room for all,
+   * a job that can't be in time any more must not make the next one late too, and many small jobs
+   * come before one large one.
+   */
+  static final Comparator<Snapshot.Need> ORDER =
+      Comparator.<Snapshot.Need>comparingInt(n -> n.spec().priority().ordinal())
+          .thenComparing(Snapshot.Need::late)
+          .thenComparing(n -> !n.withinGuarantee())
+          .thenComparingDouble(Snapshot.Need::work)
+          .thenComparingLong(Snapshot.Need::order);
+
   /** A machine while its room is handed out; {@code version} rises with each change. */
   private static final class Room {
     final Snapshot.Host host;
@@ -326,11 +338,7 @@
 
   private void run() {
     List<Snapshot.Need> needs = new ArrayList<>(snapshot.needs());
-    needs.sort(
-        Comparator.<Snapshot.Need>comparingInt(n -> n.spec().priority().ordinal())
-            .thenComparing(n -> !n.withinGuarantee())
-            .thenComparingDouble(Snapshot.Need::slackS)
-            .thenComparingLong(Snapshot.Need::order));
+    needs.sort(ORDER);
     for (Snapshot.Need need : needs) {
       place(need);
     }
--- a/src/main/java/fennelthread/plan/Snapshot.java
+++ b/src/main/java/fennelthread/plan/Snapshot.java
@@ -39,7 +39,9 @@
 
   /**
    * A job with tasks to place. {@code zones} counts its tasks that may be present, by zone; only
-   * jobs with a rule about zones need it.
+   * jobs with a rule about zones need it. A {@code late} job can't meet any time set for it any
+   * more; {@code slackS} is what is left to the next such time, {@code work} the CPU seconds that
+   * its waiting tasks still take.
    */
   public record Need(
       JobSpec spec,
@@ -47,7 +49,9 @@
       Map<String, Integer> zones,
       boolean withinGuarantee,
       boolean waitMatters,
+      boolean late,
       double slackS,
+      double work,
       long order) {}
 
   /** A task that may be stopped; {@code sinceMs} is when it began to run, or -1. */
--- a/src/main/java/fennelthread/settings/Settings.java
+++ b/src/main/java/fennelthread/settings/Settings.java
@@ -39,7 +39,8 @@
   public record Team(String name, double cpus, double cpusMax, double cards, double cardsMax) {}
 
   /** What is expected of a class of jobs; {@code jobClass} may be null. */
-  public record Objective(String kind, String jobClass, double withinS, double share) {}
+  public record Objective(
+      String kind, String jobClass, double withinS, double share, double times) {}
 
   /** Timing of workers. */
   public record Workers(long reportMs, long leaseMs, long cancelMs) {}
@@ -60,6 +61,28 @@
     return false;
   }
 
+  /**
+   * The times from its submission by which a job of the class should be done, s: its own deadline,
+   * that deadline times what objectives allow, and what objectives say of the class.
+   */
+  public List<Double> doneByS(String jobClass, double deadlineS) {
+    List<Double> times = new ArrayList<>();
+    if (deadlineS > 0) {
+      times.add(deadlineS);
+    }
+    for (Objective o : objectives) {
+      if (!jobClass.equals(o.jobClass())) {
+        continue;
+      }
+      if (o.kind().equals("finished") && o.withinS() > 0) {
+        times.add(o.withinS());
+      } else if (o.kind().equals("deadline") && deadlineS > 0 && o.times() > 0) {
+        times.add(deadlineS * o.times());
+      }
+    }
+    return times;
+  }
+
   /** True if some objective names the price. */
   public boolean priceMatters() {
     return objectives.stream()
@@ -147,7 +170,8 @@
                 text(n, at, "kind"),
                 n.hasNonNull("class") ? text(n, at, "class") : null,
                 number(n, at, "within_s", 0, 0.0),
-                number(n, at, "share", 0, 0.0)));
+                number(n, at, "share", 0, 0.0),
+                number(n, at, "times", 0, 0.0)));
       }
       JsonNode workers = object(cluster, "cluster.", "workers");
       JsonNode state = object(cluster, "cluster.", "state");
--- a/src/test/java/fennelthread/plan/PlainPlanner.java
+++ b/src/test/java/fennelthread/plan/PlainPlanner.java
@@ -103,11 +103,7 @@
 
   private void run() {
     List<Snapshot.Need> needs = new ArrayList<>(snapshot.needs());
-    needs.sort(
-        Comparator.<Snapshot.Need>comparingInt(n -> n.spec().priority().ordinal())
-            .thenComparing(n -> !n.withinGuarantee())
-            .thenComparingDouble(Snapshot.Need::slackS)
-            .thenComparingLong(Snapshot.Need::order));
+    needs.sort(Planner.ORDER);
     for (Snapshot.Need need : needs) {
       place(need);
     }
--- a/src/test/java/fennelthread/plan/PlannerTest.java
+++ b/src/test/java/fennelthread/plan/PlannerTest.java
@@ -46,7 +46,7 @@
     for (int i = 0; i < count; i++) {
       tasks.add(i);
     }
-    return new Snapshot.Need(spec, tasks, Map.of(), guaranteed, false, 100, 1);
+    return new Snapshot.Need(spec, tasks, Map.of(), guaranteed, false, false, 100, 1, 1);
   }
 
   private static Map<String, Snapshot.Use> teams(double cap) {
@@ -88,6 +88,25 @@
     assertTrue(plan.starts().isEmpty());
   }
 
+  /** A backlog once made every job late, each by what those before it took. */
+  @Test
+  void whatCanBeInTimeComesBeforeWhatIsLateAndSmallBeforeLarge() {
+    JobSpec late = job("job-1", "roja", Priority.STANDARD, 1, 4);
+    JobSpec large = job("job-2", "roja", Priority.STANDARD, 1, 4);
+    JobSpec small = job("job-3", "roja", Priority.STANDARD, 1, 4);
+    List<Snapshot.Need> needs =
+        List.of(
+            new Snapshot.Need(late, List.of(0), Map.of(), false, false, true, -5, 10, 1),
+            new Snapshot.Need(large, List.of(0), Map.of(), false, false, false, 5, 900, 2),
+            new Snapshot.Need(small, List.of(0), Map.of(), false, false, false, 5, 90, 3));
+    Plan plan =
+        Planner.plan(
+            new Snapshot(
+                List.of(host("a", 8, 8, null)), needs, Set.of(), teams(0), NOW_MS, 10));
+    assertEquals(
+        List.of("job-3", "job-2"), plan.starts().stream().map(s -> s.spec().id()).toList());
+  }
+
   /** A replica goes where its image is, at the cost of less urgent work, not where it must wait. */
   @Test
   void replicasTakeTheMachineThatHasTheImage() {
@@ -193,7 +212,10 @@
       for (int t = zones.isEmpty() ? 0 : 1; t < tasks; t++) {
         list.add(t);
       }
-      needs.add(new Snapshot.Need(spec, list, zones, r.nextBoolean(), r.nextBoolean(), 1, i));
+      needs.add(
+          new Snapshot.Need(
+              spec, list, zones, r.nextBoolean(), r.nextBoolean(), r.nextInt(4) == 0, 1,
+              r.nextInt(9), i));
     }
     Map<String, Snapshot.Use> teams =
         Map.of(
--- a/src/test/java/fennelthread/sim/Cluster.java
+++ b/src/test/java/fennelthread/sim/Cluster.java
@@ -104,7 +104,7 @@
         STATE,
         List.of("norte", "sur"),
         teams,
-        List.of(new Settings.Objective("wait", "servicio", 1, 0.9)),
+        List.of(new Settings.Objective("wait", "servicio", 1, 0.9, 0)),
         new Settings.Workers(1_500, 10_000, 30_000),
         limits,
         new Settings.Cloud(5, 2_000),
--- a/src/test/java/fennelthread/sim/LargeFleetTest.java
+++ b/src/test/java/fennelthread/sim/LargeFleetTest.java
@@ -27,9 +27,9 @@
       services.add(job);
       c.world.after(i * 60, () -> c.submit(job));
     }
-    for (int i = 0; i < 45; i++) {
+    for (int i = 0; i < 75; i++) {
       JobSpec job = c.job(false, 40, 1, true, false, false);
-      c.world.after(11_000 + i * 100, () -> c.submit(job));
+      c.world.after(11_000 + i * 60, () -> c.submit(job));
     }
     c.world.runUntil(32_000);
     int live = c.rules.running();
