--- a/src/main/java/fennelthread/Constants.java
+++ b/src/main/java/fennelthread/Constants.java
@@ -230,11 +230,17 @@
   /** How long an idle connection of ours is kept, ms: peers may drop theirs without a word. */
   public static final long IDLE_MS = 20_000;
 
-  /** Connection attempts to one address at a time: a dead peer hangs instead of refusing. */
+  /** Connection attempts to the state service, the cloud or a sibling at a time. */
   public static final int CONNECTING_PER_ADDRESS = 4;
 
-  /** Sockets that attempts to one address may hold, those that were given up included. */
-  public static final int OPENING_PER_ADDRESS = 6;
+  /** Connection attempts to a worker at a time: dead ones hang, and many may die at once. */
+  public static final int CONNECTING_PER_WORKER = 1;
+
+  /** Sockets that attempts to one worker may hold, those that were given up included. */
+  public static final int OPENING_PER_WORKER = 4;
+
+  /** A machine to which no connection could be had gets no starts for this long, ms. */
+  public static final long UNREACHABLE_PAUSE_MS = 3_000;
 
   /** How long a connection attempt counts as under way, ms: it is answered in a few if at all. */
   public static final long CONNECT_TIMEOUT_MS = 5_000;
@@ -243,7 +249,13 @@
    * Part of the process's sockets that our own connections may take: the workers' connections, the
    * users' and the siblings' need the rest.
    */
-  public static final double OUTBOUND_SHARE = 0.25;
+  public static final double OUTBOUND_SHARE = 0.2;
+
+  /**
+   * Questions to workers under way at once, as a share of the connections we may have: after a
+   * takeover hundreds wait for one, and starts and stops need connections too.
+   */
+  public static final double PROBING_SHARE = 0.5;
 
   /** Largest answer that is read, bytes: watches have no limit, so this only guards memory. */
   public static final int MAX_ANSWER_BYTES = 8 * 1024 * 1024;
--- a/src/main/java/fennelthread/cli/Serve.java
+++ b/src/main/java/fennelthread/cli/Serve.java
@@ -1,6 +1,5 @@
 package fennelthread.cli;
 
-import fennelthread.Constants;
 import fennelthread.Controller;
 import fennelthread.net.XnioHost;
 import fennelthread.settings.Options;
@@ -44,8 +43,7 @@
     essential.add(settings.stateAddr());
     essential.add(settings.cloudAddr());
     settings.siblings().forEach(s -> essential.add(s.addr()));
-    return new XnioHost(
-        (int) (settings.maxConnections() * Constants.OUTBOUND_SHARE), essential);
+    return new XnioHost(settings.mostOutbound(), essential);
   }
 
   /** Sets a controller going; on the host's thread. */
--- a/src/main/java/fennelthread/fleet/Fleet.java
+++ b/src/main/java/fennelthread/fleet/Fleet.java
@@ -15,8 +15,10 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.slf4j.Logger;
@@ -58,6 +60,8 @@
   private final LongSupplier othersSilentSince;
   private final Supplier<Map<String, Flavor>> flavors;
   private final Map<String, Machine> machines = new LinkedHashMap<>();
+  private final Set<Machine> toProbe = new LinkedHashSet<>();
+  private int probing;
   private boolean closed;
   private long attemptSeq;
   private long lastBeatAt = -1;
@@ -160,6 +164,7 @@
         && m.ackedToken() >= m.token(epoch)
         && !m.isDraining()
         && m.noticeUntilMs() < 0
+        && host.nowMs() - m.unreachableAtMs() > Constants.UNREACHABLE_PAUSE_MS
         && host.nowMs() - m.heardAtMs()
             <= settings.workers().reportMs() * Constants.SILENT_REPORTS;
   }
@@ -241,13 +246,7 @@
           Beat report = reportOf(answer);
           if (report != null && answer.status() == 409) {
             // Nothing was executed, and this was the only time these attempts were sent.
-            for (Attempt a : attempts) {
-              if (a.phase() == Attempt.Phase.SENT) {
-                a.moveTo(Attempt.Phase.GONE);
-                m.remove(a);
-                listener.ended(m, a);
-              }
-            }
+            attempts.forEach(a -> neverStarted(m, a));
           } else if (report != null) {
             for (Attempt a : attempts) {
               if (a.phase() == Attempt.Phase.SENT) {
@@ -269,9 +268,31 @@
             heardDirectly(m, report);
           }
           listener.changed();
+        },
+        tried -> {
+          if (closed) {
+            return;
+          }
+          // No connection could be had, so that nothing left: these attempts are nowhere. Taking
+          // them for unsure once raised hundreds of tokens when connections were short, each of
+          // which then needed a connection to be confirmed.
+          log.info("{}: {} starts not sent", m.name(), attempts.size());
+          if (tried) {
+            m.unreachable(host.nowMs());
+          }
+          attempts.forEach(a -> neverStarted(m, a));
+          listener.changed();
         });
   }
 
+  private void neverStarted(Machine m, Attempt a) {
+    if (a.phase() == Attempt.Phase.SENT) {
+      a.moveTo(Attempt.Phase.GONE);
+      m.remove(a);
+      listener.ended(m, a);
+    }
+  }
+
   /** Sends the stops and clears that are due right away instead of with the next report's answer. */
   public void sendOrders(Machine m) {
     if (m.address() == null || m.session() == 0) {
@@ -293,15 +314,50 @@
         });
   }
 
-  /** Tells a worker our token, and learns from its answer what is on its machine. */
+  /**
+   * Tells a worker our token, and learns from its answer what is on its machine. Only so many are
+   * asked at once; those on whose answer a task's next start depends come first.
+   */
   public void probe(Machine m) {
-    if (m.isProbing()
-        || m.address() == null
-        || m.phase() == Machine.Phase.GONE
-        || m.phase() == Machine.Phase.RETURNING) {
-      return;
+    if (canBeProbed(m) && toProbe.add(m)) {
+      probeNext();
+    }
+  }
+
+  private static boolean canBeProbed(Machine m) {
+    return !m.isProbing()
+        && m.address() != null
+        && m.phase() != Machine.Phase.GONE
+        && m.phase() != Machine.Phase.RETURNING;
+  }
+
+  private void probeNext() {
+    int most = Math.max(2, (int) (settings.mostOutbound() * Constants.PROBING_SHARE));
+    while (!closed && probing < most && !toProbe.isEmpty()) {
+      Machine next = null;
+      for (Machine m : toProbe) {
+        if (m.awaitsProof()) {
+          next = m;
+          break;
+        }
+        next = next == null ? m : next;
+      }
+      toProbe.remove(next);
+      boolean stale = next.ackedToken() < next.token(epoch) || isQuiet(next);
+      if (canBeProbed(next) && stale) {
+        sendProbe(next);
+      }
     }
+  }
+
+  private boolean isQuiet(Machine m) {
+    return host.nowMs() - m.heardAtMs()
+        > settings.workers().reportMs() * Constants.SILENT_REPORTS_ALARM;
+  }
+
+  private void sendProbe(Machine m) {
     m.setProbing(true);
+    probing++;
     long sentAt = host.nowMs();
     host.call(
         m.address(),
@@ -310,16 +366,22 @@
             Codec.CBOR,
             Order.write(m.token(epoch), Math.max(1, m.session()), List.of())),
         Constants.PROBE_TIMEOUT_MS,
-        answer -> {
-          m.setProbing(false);
-          if (answer == null) {
-            m.probeFailedSince(sentAt);
-          }
-          Beat report = reportOf(answer);
-          if (!closed && report != null) {
-            heardDirectly(m, report);
-          }
-        });
+        answer -> probed(m, sentAt, answer, true),
+        tried -> probed(m, sentAt, null, tried));
+  }
+
+  private void probed(Machine m, long sentAt, Answer answer, boolean tried) {
+    m.setProbing(false);
+    probing--;
+    if (answer == null && tried) {
+      // Being short of sockets ourselves says nothing of the machine, which would be returned.
+      m.probeFailedSince(sentAt);
+    }
+    Beat report = reportOf(answer);
+    if (!closed && report != null) {
+      heardDirectly(m, report);
+    }
+    probeNext();
   }
 
   private void heardDirectly(Machine m, Beat report) {
@@ -365,11 +427,10 @@
           expire(m);
         }
       }
-      boolean stale =
-          m.ackedToken() < m.token(epoch)
-              || now - m.heardAtMs()
-                  > settings.workers().reportMs() * Constants.SILENT_REPORTS_ALARM;
-      if (stale) {
+      // A machine that has never reported is mostly still booting: asking it only ties up sockets,
+      // hundreds of them once, so that starts found no connection. Its worker reports by itself.
+      boolean worthAsking = m.phase() == Machine.Phase.REPORTING || m.awaitsProof();
+      if (worthAsking && (m.ackedToken() < m.token(epoch) || isQuiet(m))) {
         probe(m);
       }
     }
--- a/src/main/java/fennelthread/fleet/Machine.java
+++ b/src/main/java/fennelthread/fleet/Machine.java
@@ -51,6 +51,7 @@
   private boolean listedFailed;
   private boolean probing;
   private long failedProbeSentAtMs = -1;
+  private long unreachableAtMs = Long.MIN_VALUE / 2;
   private long idleSinceMs;
   private long version;
   private long reports;
@@ -210,6 +211,16 @@
     touch();
   }
 
+  /** True if some attempt may be on it of which only its worker's answer tells. */
+  boolean awaitsProof() {
+    for (Attempt a : attempts.values()) {
+      if (a.phase() == Attempt.Phase.UNSURE) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   boolean isNewer(Beat beat) {
     return beat.session() > session || (beat.session() == session && beat.seq() > seq);
   }
@@ -271,6 +282,15 @@
     failedProbeSentAtMs = sentAtMs;
   }
 
+  /** Notes that no connection to it could be had. */
+  void unreachable(long now) {
+    unreachableAtMs = now;
+  }
+
+  long unreachableAtMs() {
+    return unreachableAtMs;
+  }
+
   /** True if it did not answer a question that was sent after it was last heard. */
   boolean probeFailed() {
     return failedProbeSentAtMs > heardAtMs;
--- a/src/main/java/fennelthread/net/Host.java
+++ b/src/main/java/fennelthread/net/Host.java
@@ -27,9 +27,22 @@
   /** The source of all randomness. */
   RandomGenerator random();
 
+  /** Told that nothing of a request was ever sent: it was not executed and never will be. */
+  @FunctionalInterface
+  interface Unsent {
+    /** {@code tried} is false if we had no socket left: that says nothing of the other side. */
+    void over(boolean tried);
+  }
+
   /**
    * Sends a request. {@code done} gets the answer, or null if there was none in time: then the
-   * request may have been executed, or may still be.
+   * request may have been executed, or may still be. If nothing of it was ever sent, {@code unsent}
+   * is told instead.
    */
-  void call(String address, Call call, long timeoutMs, Consumer<Answer> done);
+  void call(String address, Call call, long timeoutMs, Consumer<Answer> done, Unsent unsent);
+
+  /** Sends a request whose sender need not know whether an unanswered one was sent at all. */
+  default void call(String address, Call call, long timeoutMs, Consumer<Answer> done) {
+    call(address, call, timeoutMs, done, tried -> done.accept(null));
+  }
 }
--- a/src/main/java/fennelthread/net/XnioHost.java
+++ b/src/main/java/fennelthread/net/XnioHost.java
@@ -256,11 +256,13 @@
     final String address;
     final Call call;
     final Consumer<Answer> done;
+    final Unsent unsent;
     Cancellable timer;
     Link link;
     boolean over;
 
-    Pending(String address, Call call, Consumer<Answer> done) {
+    Pending(String address, Call call, Consumer<Answer> done, Unsent unsent) {
+      this.unsent = unsent;
       this.address = address;
       this.call = call;
       this.done = done;
@@ -280,7 +282,12 @@
         }
       }
       try {
-        done.accept(answer);
+        if (answer == null && link == null) {
+          // Never handed to a connection, and being over it never will be.
+          unsent.over(!peers.get(address).starved);
+        } else {
+          done.accept(answer);
+        }
       } catch (RuntimeException e) {
         log.error("handling the answer to {} failed", call.path(), e);
       }
@@ -336,8 +343,9 @@
   }
 
   @Override
-  public void call(String address, Call call, long timeoutMs, Consumer<Answer> done) {
-    Pending p = new Pending(address, call, done);
+  public void call(
+      String address, Call call, long timeoutMs, Consumer<Answer> done, Unsent unsent) {
+    Pending p = new Pending(address, call, done, unsent);
     p.timer = after(timeoutMs, () -> p.finish(null, false));
     Peer peer = peers.computeIfAbsent(address, Peer::new);
     while (!peer.idle.isEmpty()) {
@@ -358,11 +366,13 @@
    * the process's sockets with ours, and past the limit nobody gets in any more.
    */
   private void open(Peer peer) {
-    if (peer.connecting >= Constants.CONNECTING_PER_ADDRESS
-        || peer.opening >= Constants.OPENING_PER_ADDRESS) {
+    boolean vital = essential.contains(peer.address);
+    int most = vital ? Constants.CONNECTING_PER_ADDRESS : Constants.CONNECTING_PER_WORKER;
+    if (peer.connecting >= most
+        || (!vital && peer.opening >= Constants.OPENING_PER_WORKER)) {
       return;
     }
-    if (outbound >= mostOutbound && !essential.contains(peer.address)) {
+    if (outbound >= mostOutbound && !vital) {
       if (idle.isEmpty()) {
         if (!peer.starved) {
           peer.starved = true;
--- a/src/main/java/fennelthread/settings/Settings.java
+++ b/src/main/java/fennelthread/settings/Settings.java
@@ -7,6 +7,7 @@
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.fasterxml.jackson.dataformat.toml.TomlFactory;
+import fennelthread.Constants;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -83,6 +84,11 @@
     return times;
   }
 
+  /** How many connections of our own we may have at once. */
+  public int mostOutbound() {
+    return Math.max(4, (int) (maxConnections * Constants.OUTBOUND_SHARE));
+  }
+
   /** True if some objective names the price. */
   public boolean priceMatters() {
     return objectives.stream()
--- a/src/test/java/fennelthread/sim/LargeFleetTest.java
+++ b/src/test/java/fennelthread/sim/LargeFleetTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import fennelthread.settings.Options;
 import fennelthread.wire.JobSpec;
 import java.util.ArrayList;
 import java.util.List;
@@ -70,12 +71,21 @@
       c.submit(c.job(true, 9, 2, false, false, false));
     }
     c.world.runUntil(60_000);
-    int before = c.cloud.machines().size();
+    double wanted = Options.DEFAULTS.spare() * 40 * 9 * 2;
+    assertTrue(cpusUp(c) >= wanted, cpusUp(c) + " CPUs of " + wanted);
     List<WorkerStandIn> all = new ArrayList<>(c.cloud.machines().values());
-    for (int i = 0; i < 30; i++) {
-      c.cloud.end(all.get(i * 5), true);
+    for (int i = 0; i < 100; i++) {
+      c.cloud.end(all.get(i * 3), true);
     }
+    assertTrue(cpusUp(c) < wanted, "nothing was lost");
     c.world.runUntil(120_000);
-    assertTrue(c.cloud.machines().size() >= before, c.cloud.machines().size() + " of " + before);
+    assertTrue(cpusUp(c) >= wanted, cpusUp(c) + " CPUs of " + wanted);
+  }
+
+  private static double cpusUp(Cluster c) {
+    return c.cloud.machines().values().stream()
+        .filter(w -> w.isUp() && !w.isFailed())
+        .mapToDouble(w -> w.flavor().cpus())
+        .sum();
   }
 }
--- a/src/test/java/fennelthread/sim/UserAnswersTest.java
+++ b/src/test/java/fennelthread/sim/UserAnswersTest.java
@@ -39,12 +39,14 @@
   }
 
   private Fields good() {
-    JobSpec spec = c.job(false, 2, 1, true, false, false);
+    JobSpec any = c.job(false, 2, 1, true, false, false);
+    // The rules must know the job as it is submitted, without the place rules that chance gave it.
+    JobSpec spec =
+        new JobSpec(
+            any.id(), "lote", "roja", false, any.priority(), 2, 1, 0, 2, "img", 1, null, null,
+            false, false, true, 5, 0, 0, JobSpec.NO_DEADLINE);
     c.rules.submits(spec);
-    return new JobSpec(
-            spec.id(), "lote", "roja", false, spec.priority(), 2, 1, 0, 2, "img", 1, null, null,
-            false, false, true, 5, 0, 0, JobSpec.NO_DEADLINE)
-        .write();
+    return spec.write();
   }
 
   private static String error(Answer a) throws WireException {
--- a/src/test/java/fennelthread/sim/World.java
+++ b/src/test/java/fennelthread/sim/World.java
@@ -32,6 +32,7 @@
   private final Map<String, List<Runnable>> held = new HashMap<>();
   private final List<Runnable> afterEach = new ArrayList<>();
   final SplittableRandom random;
+  private final SplittableRandom connections;
   double loss = 0.002;
   double late = 0.001;
   private long now;
@@ -49,6 +50,7 @@
 
   World(long seed) {
     random = new SplittableRandom(seed);
+    connections = new SplittableRandom(~seed);
   }
 
   long now() {
@@ -214,7 +216,14 @@
     }
 
     @Override
-    public void call(String address, Call call, long timeoutMs, Consumer<Answer> done) {
+    public void call(
+        String address, Call call, long timeoutMs, Consumer<Answer> done, Unsent unsent) {
+      if (connections.nextDouble() < loss) {
+        // No socket was free, or the connection attempt was given up.
+        boolean tried = connections.nextBoolean();
+        after(timeoutMs, () -> unsent.over(tried));
+        return;
+      }
       boolean[] over = new boolean[1];
       after(
           timeoutMs,
