--- a/src/test/java/fennelthread/sim/SimulationTest.java
+++ b/src/test/java/fennelthread/sim/SimulationTest.java
@@ -149,6 +149,40 @@
     assertEquals(1, c.rules.running(job.id()));
   }
 
+  /**
+   * A start that is held back in the network and gets no answer may be carried out seconds later.
+   * Until its worker says otherwise the task is not started elsewhere; only a start that never left
+   * is known to be nowhere.
+   */
+  @ParameterizedTest
+  @ValueSource(longs = {51, 52, 53, 54})
+  void startWithoutAnswerMayStillBeCarriedOut(long seed) {
+    Cluster c = calmCluster(seed);
+    JobSpec first = replica(c);
+    c.submit(first);
+    c.world.runUntil(40_000);
+    WorkerStandIn host =
+        c.cloud.machines().values().stream()
+            .filter(w -> c.rules.isOn(first.id(), w))
+            .findFirst()
+            .orElseThrow();
+    // Longer than a start's answer is waited for, within the lease, and the cloud takes nothing back.
+    c.cloud.outage(20_000);
+    c.world.cut(host.name(), "nodo", 6_000);
+    JobSpec second = replica(c);
+    c.submit(second);
+    c.world.runUntil(80_000);
+    assertEquals(1, c.rules.running(second.id()));
+  }
+
+  /** A service of one replica whose image all such jobs share. */
+  private static JobSpec replica(Cluster c) {
+    JobSpec any = c.job(true, 1, 1, false, false, false);
+    return new JobSpec(
+        any.id(), any.jobClass(), "roja", true, any.priority(), 1, 1, 0, 1, "img-shared", 1, null,
+        null, false, false, false, 0, 0, 0, JobSpec.NO_DEADLINE);
+  }
+
   /** A round record that arrives after a takeover must not be written: all writes are fenced. */
   @Test
   void lateTransactionOfAnOldLeaderIsRefused() {
