--- a/src/test/java/fennelthread/sim/LargeFleetTest.java
+++ b/src/test/java/fennelthread/sim/LargeFleetTest.java
@@ -28,13 +28,13 @@
       services.add(job);
       c.world.after(i * 60, () -> c.submit(job));
     }
-    for (int i = 0; i < 75; i++) {
+    for (int i = 0; i < 140; i++) {
       JobSpec job = c.job(false, 40, 1, true, false, false);
-      c.world.after(11_000 + i * 60, () -> c.submit(job));
+      c.world.after(11_000 + i * 32, () -> c.submit(job));
     }
     c.world.runUntil(32_000);
     int live = c.rules.running();
-    assertTrue(live > 1_000, live + " tasks run");
+    assertTrue(live >= 1_500, live + " tasks run");
     List<WorkerStandIn> all = new ArrayList<>(c.cloud.machines().values());
     for (int i = 0; i < 30; i++) {
       c.cloud.end(all.get(i * 7), true);
