--- a/src/main/java/fennelthread/jobs/JobStore.java
+++ b/src/main/java/fennelthread/jobs/JobStore.java
@@ -16,6 +16,7 @@
 import fennelthread.wire.JobState;
 import fennelthread.wire.WireException;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -50,6 +51,7 @@
           .executor(Runnable::run)
           .build();
   private final Map<String, Pending> queue = new LinkedHashMap<>();
+  private final Map<String, Pending> underWay = new HashMap<>();
   private int accepting;
   private final Map<String, List<Consumer<Lookup>>> confirmQueue = new LinkedHashMap<>();
   private int confirming;
@@ -72,7 +74,12 @@
 
   /** Accepts a checked job with one durable write; several that wait share one transaction. */
   public void accept(JobSpec spec, Consumer<Accepted> done) {
-    Pending known = queue.get(spec.id());
+    if (table.get(spec.id()) != null || finals.getIfPresent(spec.id()) != null) {
+      // A transaction would fail with all that share it, and count against the write limit too.
+      done.accept(Accepted.KNOWN);
+      return;
+    }
+    Pending known = queue.getOrDefault(spec.id(), underWay.get(spec.id()));
     if (known != null) {
       known.callers.add(done);
       return;
@@ -106,12 +113,16 @@
       String id = p.spec.id();
       txn.when(Keys.job(id), 0).when(Keys.finalJob(id), 0).write(Keys.job(id), p.value);
     }
-    batch.forEach(p -> queue.remove(p.spec.id()));
+    for (Pending p : batch) {
+      queue.remove(p.spec.id());
+      underWay.put(p.spec.id(), p);
+    }
     state.txn(
         StateClient.Lane.ANSWER,
         txn,
         result -> {
           accepting--;
+          batch.forEach(p -> underWay.remove(p.spec.id()));
           if (result instanceof TxnResult.Applied applied) {
             replica.applied(txn, applied.revision());
             batch.forEach(p -> tell(p, Accepted.NEW));
--- a/src/test/java/fennelthread/sim/UserAnswersTest.java
+++ b/src/test/java/fennelthread/sim/UserAnswersTest.java
@@ -151,6 +151,32 @@
     assertEquals(200, submit("nodo-0", body).status());
   }
 
+  /**
+   * Users who come back while their submission is under way, or after it, must not make another
+   * transaction: one known job fails it for all that share it. A burst once fed on that for 20 s.
+   */
+  @Test
+  void repeatedSubmissionsCostNoTransaction() {
+    byte[] bytes = Codec.CBOR.encode(good());
+    int[] sent = new int[1];
+    c.state.delay =
+        (caller, text) -> {
+          sent[0] += text.contains("at_ms") ? 1 : 0;
+          return text.contains("at_ms") ? 300 : 0;
+        };
+    Answer[] got = new Answer[3];
+    handle("nodo-0", "POST", "/v1/jobs", bytes, got, 0);
+    c.world.runUntil(c.world.now() + 100);
+    handle("nodo-0", "POST", "/v1/jobs", bytes, got, 1);
+    c.world.runUntil(c.world.now() + 500);
+    handle("nodo-0", "POST", "/v1/jobs", bytes, got, 2);
+    c.world.runUntil(c.world.now() + 100);
+    assertEquals(201, got[0].status());
+    assertEquals(201, got[1].status());
+    assertEquals(200, got[2].status());
+    assertEquals(1, sent[0], "transactions");
+  }
+
   private void handle(
       String member, String method, String path, byte[] body, Answer[] into, int at) {
     c.controllers.get(member).api().handle(new Request(method, path, body), a -> into[at] = a);
