--- a/src/test/java/fennelthread/sim/SimulationTest.java
+++ b/src/test/java/fennelthread/sim/SimulationTest.java
@@ -128,11 +128,7 @@
     c.submit(job);
     c.world.runUntil(40_000);
     String first = c.leader();
-    WorkerStandIn host =
-        c.cloud.machines().values().stream()
-            .filter(w -> c.rules.isOn(job.id(), w))
-            .findFirst()
-            .orElseThrow();
+    WorkerStandIn host = hostOf(c, job);
     for (String member : c.controllers.keySet()) {
       if (!member.equals(first)) {
         c.world.cut(first, member, 60_000);
@@ -161,11 +157,7 @@
     JobSpec first = replica(c);
     c.submit(first);
     c.world.runUntil(40_000);
-    WorkerStandIn host =
-        c.cloud.machines().values().stream()
-            .filter(w -> c.rules.isOn(first.id(), w))
-            .findFirst()
-            .orElseThrow();
+    WorkerStandIn host = hostOf(c, first);
     // Longer than a start's answer is waited for, within the lease, and the cloud takes nothing back.
     c.cloud.outage(20_000);
     c.world.cut(host.name(), "nodo", 6_000);
@@ -255,6 +247,14 @@
     assertEquals(2, c.rules.running(job.id()));
   }
 
+  /** The machine that some task of the job is on. */
+  private static WorkerStandIn hostOf(Cluster c, JobSpec job) {
+    return c.cloud.machines().values().stream()
+        .filter(w -> c.rules.isOn(job.id(), w))
+        .findFirst()
+        .orElseThrow();
+  }
+
   /** A cluster whose network loses and delays nothing, up and led. */
   private static Cluster calmCluster(long seed) {
     Cluster c = new Cluster(seed);
