--- a/src/main/java/fennelthread/Constants.java
+++ b/src/main/java/fennelthread/Constants.java
@@ -71,11 +71,44 @@
   /** Most bytes a value may take beside its payload: key names and JSON punctuation. */
   public static final int VALUE_SLACK_BYTES = 256;
 
+  /** Most bytes of all values in a transaction: the protocol's bound on bodies is 64 KiB. */
+  public static final int TXN_BYTES = 48 * 1024;
+
+  /** Bytes of a transaction beside each value: the key, its conditions, punctuation. */
+  public static final int TXN_BYTES_PER_CHANGE = 200;
+
+  /** Fewest changes that a transaction must be able to hold: a job moves from live to final in two. */
+  public static final int LEAST_TXN_OPS = 2;
+
+  /** Smallest value that we shrink to after a refusal, bytes: below that no job fits any more. */
+  public static final int LEAST_VALUE_BYTES = 768;
+
+  /** Reads of final records of needed jobs under way at once: each is one request. */
+  public static final int END_READS_AT_ONCE = 4;
+
+  /** Pause before a final record that could not be read, or was not there, is read again, ms. */
+  public static final long END_READ_PAUSE_MS = 1_000;
+
+  /**
+   * How long a sibling that does not speak of chained jobs keeps us from taking them, ms: it is old,
+   * would run them too early if it led, and after this long without a word it is gone or new.
+   */
+  public static final long OLD_SIBLING_MS = 10_000;
+
+  /** Bytes of the names and brackets around a list of needs, and of the count of its parts. */
+  public static final int NEEDS_FIELD_BYTES = 64;
+
+  /** Bytes of one range of finished tasks: two numbers of up to three digits, two commas. */
+  public static final int RANGE_BYTES = 8;
+
   /** How many tasks share one key of finished tasks: bounds the value at about 2 KB of ranges. */
   public static final int TASKS_PER_CHUNK = 256;
 
-  /** Bytes one start takes in a round record, at the most: task, attempt and machine. */
-  public static final int RECORD_BYTES_PER_START = 90;
+  /** Bytes that a start takes in a round record as a rule: how many are worth planning at once. */
+  public static final int RECORD_BYTES_PER_START = 40;
+
+  /** Bytes beside the texts and numbers of a job or a start in a round record: punctuation. */
+  public static final int RECORD_BYTES_PER_ENTRY = 12;
 
   /** Most starts in one round: keeps a round's work short on a slow processor. */
   public static final int STARTS_PER_ROUND = 60;
--- a/src/main/java/fennelthread/Controller.java
+++ b/src/main/java/fennelthread/Controller.java
@@ -84,7 +84,15 @@
             });
     this.mesh = new Mesh(host, settings, this::greeting, this::workers, this::heard);
     this.api =
-        new Api(host, settings, store, table, () -> flavors, this::isUp, this::beat);
+        new Api(
+            host,
+            settings,
+            store,
+            table,
+            () -> flavors,
+            this::isUp,
+            mesh::oldSiblingHeard,
+            this::beat);
   }
 
   /** Sets it going. */
@@ -163,7 +171,7 @@
     Fields value = Flavor.writeAll(plain);
     byte[] encoded = Codec.JSON.encode(value);
     Fields kept = replica.get(Keys.FLAVORS);
-    if (encoded.length > settings.state().valueBytes() - Constants.VALUE_SLACK_BYTES
+    if (encoded.length > state.limits().valueBytes()
         || (kept != null && java.util.Arrays.equals(Codec.JSON.encode(kept), encoded))) {
       return;
     }
@@ -263,6 +271,7 @@
         lease.isLeading(),
         host.nowMs() - state.servedAtMs(),
         beatsHeard.size(),
+        true,
         Map.of(),
         List.of());
   }
--- a/src/main/java/fennelthread/api/Api.java
+++ b/src/main/java/fennelthread/api/Api.java
@@ -17,6 +17,8 @@
 import fennelthread.wire.JobSpec;
 import fennelthread.wire.JobState;
 import fennelthread.wire.WireException;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
@@ -34,9 +36,13 @@
   private final JobTable table;
   private final Supplier<Map<String, Flavor>> flavors;
   private final BooleanSupplier up;
+  private final BooleanSupplier oldSibling;
   private final Function<Beat, Answer> beats;
 
-  /** Creates the interface; {@code beats} answers reports. */
+  /**
+   * Creates the interface; {@code beats} answers reports, {@code oldSibling} tells whether a sibling
+   * serves that does not know of chained jobs.
+   */
   public Api(
       Host host,
       Settings settings,
@@ -44,6 +50,7 @@
       JobTable table,
       Supplier<Map<String, Flavor>> flavors,
       BooleanSupplier up,
+      BooleanSupplier oldSibling,
       Function<Beat, Answer> beats) {
     this.host = host;
     this.settings = settings;
@@ -51,6 +58,7 @@
     this.table = table;
     this.flavors = flavors;
     this.up = up;
+    this.oldSibling = oldSibling;
     this.beats = beats;
   }
 
@@ -145,34 +153,57 @@
       reply.accept(Answer.error(400, e.getMessage()));
       return;
     }
-    Answer refusal = null;
-    JobSpec spec = null;
+    JobStore.Prepared job;
     try {
-      spec = JobSpec.read(body);
-      refusal = store.fits(spec) ? impossible(spec) : Answer.error(400, "body: is too large");
+      JobSpec spec = JobSpec.read(body);
+      Answer impossible = impossible(spec);
+      if (impossible != null) {
+        refuse(id, impossible, reply);
+        return;
+      }
+      job = store.prepare(spec);
     } catch (WireException e) {
-      refusal = Answer.error(400, e.getMessage());
+      refuse(id, Answer.error(400, e.getMessage()), reply);
+      return;
+    }
+    if (job.spec().needs().isEmpty() || store.isKnown(id)) {
+      accept(job, reply);
+    } else {
+      checkNeeds(job, reply);
     }
-    if (refusal == null) {
-      accept(spec, reply);
+  }
+
+  private void checkNeeds(JobStore.Prepared job, Consumer<Answer> reply) {
+    String id = job.spec().id();
+    if (oldSibling.getAsBoolean()) {
+      // It would run the job without waiting, if it came to lead.
+      refuse(id, later("a controller that does not know " + JobSpec.NEEDS + " still serves"), reply);
       return;
     }
-    // An accepted job gets 200 again whatever else the repeated body holds.
-    Answer otherwise = refusal;
-    store.lookup(
-        id,
-        found -> {
-          if (found instanceof Lookup.Unknown) {
-            reply.accept(otherwise);
+    store.checkNeeds(
+        job.spec(),
+        needs -> {
+          if (needs instanceof JobStore.Needs.Good) {
+            accept(job, reply);
+          } else if (needs instanceof JobStore.Needs.Bad bad) {
+            refuse(id, Answer.error(422, JobSpec.NEEDS + ": " + bad.why()), reply);
           } else {
-            reply.accept(known(id, found));
+            reply.accept(later("the state service can't be reached"));
           }
         });
   }
 
-  private void accept(JobSpec spec, Consumer<Answer> reply) {
+  /** An accepted job gets 200 again whatever else the repeated body holds; only others a refusal. */
+  private void refuse(String id, Answer refusal, Consumer<Answer> reply) {
+    store.lookup(
+        id,
+        found -> reply.accept(found instanceof Lookup.Unknown ? refusal : known(id, found)));
+  }
+
+  private void accept(JobStore.Prepared job, Consumer<Answer> reply) {
+    String id = job.spec().id();
     store.accept(
-        spec,
+        job,
         outcome -> {
           switch (outcome) {
             case NEW ->
@@ -181,10 +212,11 @@
                         201,
                         Codec.CBOR,
                         Fields.create()
-                            .with("name_id", spec.id())
+                            .with("name_id", id)
                             .with("estado", JobState.PENDING.wire())));
-            case KNOWN -> store.lookup(spec.id(), found -> reply.accept(known(spec.id(), found)));
+            case KNOWN -> store.lookup(id, found -> reply.accept(known(id, found)));
             case UNAVAILABLE -> reply.accept(later("the state service can't be reached"));
+            case TOO_LARGE -> reply.accept(Answer.error(400, "body: is too large"));
             default -> throw new IllegalStateException();
           }
         });
@@ -246,14 +278,17 @@
       Job job = live.job();
       int started = table.startedTasks(job);
       JobState state = started > 0 ? JobState.RUNNING : JobState.PENDING;
-      return Answer.of(
-          200,
-          Codec.CBOR,
+      Fields body =
           Fields.create()
               .with("name_id", id)
               .with("estado", state.wire())
               .with("done", (long) job.finished().cardinality())
-              .with("running", (long) started));
+              .with("running", (long) started);
+      List<String> unmet = store.waits().graph().unmet(id);
+      return Answer.of(
+          200,
+          Codec.CBOR,
+          unmet.isEmpty() ? body : body.with(JobSpec.NEEDS, new ArrayList<Object>(unmet)));
     }
     if (found instanceof Lookup.Final end) {
       return Answer.of(
--- a/src/main/java/fennelthread/jobs/Job.java
+++ b/src/main/java/fennelthread/jobs/Job.java
@@ -1,12 +1,16 @@
 package fennelthread.jobs;
 
 import fennelthread.Constants;
+import fennelthread.state.Keys;
+import fennelthread.state.Limits;
 import fennelthread.wire.Fields;
 import fennelthread.wire.JobSpec;
 import fennelthread.wire.WireException;
 import java.util.ArrayList;
 import java.util.BitSet;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 
 /** An accepted job that is neither done nor withdrawn, as the state service knows it. */
 public final class Job {
@@ -41,8 +45,70 @@
     return finished;
   }
 
-  static Fields write(JobSpec spec, long wallMs) {
-    return spec.write().with("at_ms", wallMs);
+  /** The name of the count of further keys that hold needs. */
+  private static final String PARTS = "espera_parts";
+
+  /**
+   * The records of a job to be accepted, by key. Needs that its own record has no room for come in
+   * further keys of the same transaction, before it. The record of a job without needs is what it
+   * was before there were any: older versions read it and run the job.
+   *
+   * @throws WireException naming the field that is too large for the state service
+   */
+  static Map<String, Fields> write(JobSpec spec, long wallMs, Limits limits) throws WireException {
+    Fields record = spec.withNeeds(List.of()).write().with("at_ms", wallMs);
+    int bytes = Limits.bytes(record);
+    if (bytes > limits.valueBytes()) {
+      throw new WireException("body", "is too large");
+    }
+    Map<String, Fields> records = new LinkedHashMap<>();
+    List<String> needs = spec.needs();
+    if (!needs.isEmpty()) {
+      int next = fit(needs, 0, limits.valueBytes() - bytes - Constants.NEEDS_FIELD_BYTES);
+      List<Object> here = new ArrayList<>(needs.subList(0, next));
+      int parts = 0;
+      while (next < needs.size()) {
+        int to = fit(needs, next, limits.valueBytes() - Constants.NEEDS_FIELD_BYTES);
+        if (to == next || parts >= limits.txnOps()) {
+          throw new WireException(JobSpec.NEEDS, "names too many jobs");
+        }
+        Fields part =
+            Fields.create().with(JobSpec.NEEDS, new ArrayList<Object>(needs.subList(next, to)));
+        bytes += Limits.bytes(part);
+        records.put(Keys.needs(spec.id(), parts++), part);
+        next = to;
+      }
+      record.with(JobSpec.NEEDS, here);
+      if (parts > 0) {
+        record.with(PARTS, (long) parts);
+      }
+    }
+    records.put(Keys.job(spec.id()), record);
+    if (records.size() > limits.txnOps() || bytes > limits.txnBytes()) {
+      throw new WireException(JobSpec.NEEDS, "names too many jobs");
+    }
+    return records;
+  }
+
+  /** How far the needs from {@code from} on fit into so many bytes. */
+  private static int fit(List<String> needs, int from, int bytes) {
+    int to = from;
+    int left = bytes;
+    while (to < needs.size() && left >= needs.get(to).length() + 3) {
+      left -= needs.get(to).length() + 3;
+      to++;
+    }
+    return to;
+  }
+
+  /** In how many further keys a record's needs go on. */
+  static int parts(Fields value) throws WireException {
+    return (int) Math.min(Integer.MAX_VALUE, value.count(PARTS, 0));
+  }
+
+  /** The same job with all its needs. */
+  Job withNeeds(List<String> needs) {
+    return new Job(spec.withNeeds(needs), revision, acceptedWallMs);
   }
 
   static Job read(Fields value, long revision) throws WireException {
@@ -60,13 +126,22 @@
     }
   }
 
-  /** One chunk's finished tasks as ranges, relative to the chunk's first task. */
-  public static Fields writeChunk(int chunk, BitSet finished) {
+  /**
+   * One chunk's finished tasks as ranges, relative to the chunk's first task, as far as they fit
+   * into so many bytes; what is written is noted in {@code covered}.
+   */
+  public static Fields writeChunk(int chunk, BitSet finished, int mostBytes, BitSet covered) {
     int base = chunk * Constants.TASKS_PER_CHUNK;
     int end = base + Constants.TASKS_PER_CHUNK;
     List<Object> ranges = new ArrayList<>();
+    int left = mostBytes - Constants.RECORD_BYTES_PER_ENTRY;
     for (int from = finished.nextSetBit(base); from >= 0 && from < end; ) {
       int to = Math.min(end, finished.nextClearBit(from));
+      left -= Constants.RANGE_BYTES;
+      if (left < 0) {
+        break;
+      }
+      covered.set(from, to);
       ranges.add((long) (from - base));
       ranges.add((long) (to - 1 - base));
       from = finished.nextSetBit(to);
--- a/src/main/java/fennelthread/jobs/JobStore.java
+++ b/src/main/java/fennelthread/jobs/JobStore.java
@@ -6,11 +6,11 @@
 import fennelthread.net.Host;
 import fennelthread.settings.Settings;
 import fennelthread.state.Keys;
+import fennelthread.state.Limits;
 import fennelthread.state.Replica;
 import fennelthread.state.StateClient;
 import fennelthread.state.Txn;
 import fennelthread.state.TxnResult;
-import fennelthread.wire.Codec;
 import fennelthread.wire.Fields;
 import fennelthread.wire.JobSpec;
 import fennelthread.wire.JobState;
@@ -31,20 +31,54 @@
 public final class JobStore {
   private static final int MAX_TRIES = 4;
 
+  /** The changes of a job's end: its live record goes, its final record comes. */
+  public static final int CHANGES_PER_END = 2;
+
   /** What became of an acceptance. */
   public enum Accepted {
     NEW,
     KNOWN,
-    UNAVAILABLE
+    UNAVAILABLE,
+    TOO_LARGE
+  }
+
+  /** What is known of the jobs that a submission names. */
+  public sealed interface Needs {
+    /** All were accepted, and none is a service. */
+    record Good() implements Needs {}
+
+    /** One was never accepted, or is a service. */
+    record Bad(String why) implements Needs {}
+
+    /** The state service can't be asked now. */
+    record Unavailable() implements Needs {}
   }
 
-  private record Pending(JobSpec spec, Fields value, int bytes, List<Consumer<Accepted>> callers) {}
+  /** A checked submission with the records that will be written for it. */
+  public record Prepared(JobSpec spec, Map<String, Fields> records) {
+    int bytes() {
+      int bytes = 0;
+      for (Fields record : records.values()) {
+        bytes += Limits.bytes(record) + Constants.TXN_BYTES_PER_CHANGE;
+      }
+      return bytes;
+    }
+  }
+
+  /** A submission in the queue; {@code alone} once it was refused together with others. */
+  private record Pending(
+      Prepared job, int bytes, boolean alone, List<Consumer<Accepted>> callers) {
+    String id() {
+      return job.spec.id();
+    }
+  }
 
   private final Host host;
   private final StateClient state;
   private final Replica replica;
   private final JobTable table;
-  private final Settings.State limits;
+  private final Limits limits;
+  private final Waits waits;
   private final Cache<String, Lookup.Final> finals =
       Caffeine.newBuilder()
           .maximumSize(Constants.FINAL_CACHE)
@@ -55,6 +89,7 @@
   private int accepting;
   private final Map<String, List<Consumer<Lookup>>> confirmQueue = new LinkedHashMap<>();
   private int confirming;
+  private boolean cascading;
 
   /** Creates a store over the given replica. */
   public JobStore(
@@ -63,23 +98,101 @@
     this.state = state;
     this.replica = replica;
     this.table = table;
-    this.limits = settings.state();
+    this.limits = state.limits();
+    this.waits =
+        new Waits(
+            host,
+            table,
+            settings,
+            new Waits.Ends() {
+              @Override
+              public Lookup.Final known(String id) {
+                return finals.getIfPresent(id);
+              }
+
+              @Override
+              public void read(String id, Consumer<Lookup.Final> done) {
+                readFinal(id, found -> done.accept(found instanceof Lookup.Final f ? f : null));
+              }
+            });
   }
 
-  /** True if the job's record fits into one value. */
-  public boolean fits(JobSpec spec) {
-    return Codec.JSON.encode(Job.write(spec, host.wallMs())).length
-        <= limits.valueBytes() - Constants.VALUE_SLACK_BYTES;
+  /** Which jobs wait for which. */
+  public Waits waits() {
+    return waits;
+  }
+
+  /**
+   * Makes the records of a job that is to be accepted.
+   *
+   * @throws WireException naming the field that is too large for the state service
+   */
+  public Prepared prepare(JobSpec spec) throws WireException {
+    return new Prepared(spec, Job.write(spec, host.wallMs(), limits));
+  }
+
+  /** True if this controller knows without asking that the job was accepted. */
+  public boolean isKnown(String id) {
+    return table.get(id) != null || finals.getIfPresent(id) != null;
+  }
+
+  /**
+   * Checks that every job that a submission needs was accepted. What is checked here is written
+   * later, and may be: an id once accepted stays accepted, whatever becomes of its job. A job that
+   * is missing in the replica proves nothing, since that may be behind; then the state service is
+   * asked.
+   */
+  public void checkNeeds(JobSpec spec, Consumer<Needs> done) {
+    List<String> toRead = new ArrayList<>();
+    for (String need : spec.needs()) {
+      Job job = table.get(need);
+      if (job != null && job.spec().service()) {
+        done.accept(new Needs.Bad("names the service " + need));
+        return;
+      }
+      if (job == null && finals.getIfPresent(need) == null) {
+        toRead.add(need);
+      }
+    }
+    if (toRead.isEmpty()) {
+      done.accept(new Needs.Good());
+    } else if (!state.answersSoon(0)) {
+      done.accept(new Needs.Unavailable());
+    } else {
+      readNeeds(toRead, 0, done);
+    }
+  }
+
+  private void readNeeds(List<String> needs, int at, Consumer<Needs> done) {
+    if (at == needs.size()) {
+      done.accept(new Needs.Good());
+      return;
+    }
+    String need = needs.get(at);
+    read(
+        need,
+        found -> {
+          if (found instanceof Lookup.Unavailable) {
+            done.accept(new Needs.Unavailable());
+          } else if (found instanceof Lookup.Unknown) {
+            done.accept(new Needs.Bad("names " + need + ", which was never accepted"));
+          } else if (found instanceof Lookup.Live live && live.job().spec().service()) {
+            done.accept(new Needs.Bad("names the service " + need));
+          } else {
+            readNeeds(needs, at + 1, done);
+          }
+        });
   }
 
   /** Accepts a checked job with one durable write; several that wait share one transaction. */
-  public void accept(JobSpec spec, Consumer<Accepted> done) {
-    if (table.get(spec.id()) != null || finals.getIfPresent(spec.id()) != null) {
+  public void accept(Prepared job, Consumer<Accepted> done) {
+    String id = job.spec.id();
+    if (isKnown(id)) {
       // A transaction would fail with all that share it, and count against the write limit too.
       done.accept(Accepted.KNOWN);
       return;
     }
-    Pending known = queue.getOrDefault(spec.id(), underWay.get(spec.id()));
+    Pending known = queue.getOrDefault(id, underWay.get(id));
     if (known != null) {
       known.callers.add(done);
       return;
@@ -88,11 +201,9 @@
       done.accept(Accepted.UNAVAILABLE);
       return;
     }
-    Fields value = Job.write(spec, host.wallMs());
     List<Consumer<Accepted>> callers = new ArrayList<>();
     callers.add(done);
-    queue.put(
-        spec.id(), new Pending(spec, value, Codec.JSON.encode(value).length + 200, callers));
+    queue.put(id, new Pending(job, job.bytes(), false, callers));
     acceptNext();
   }
 
@@ -106,44 +217,46 @@
     int bytes = 0;
     for (Pending p : queue.values()) {
       bytes += p.bytes;
-      if (!batch.isEmpty() && (batch.size() >= limits.txnOps() || bytes > 48 * 1024)) {
+      if (!batch.isEmpty()
+          && (p.alone
+              || batch.get(0).alone
+              || txn.ops() + p.job.records.size() > limits.txnOps()
+              || bytes > limits.txnBytes())) {
         break;
       }
       batch.add(p);
-      String id = p.spec.id();
-      txn.when(Keys.job(id), 0).when(Keys.finalJob(id), 0).write(Keys.job(id), p.value);
+      txn.when(Keys.job(p.id()), 0).when(Keys.finalJob(p.id()), 0);
+      p.job.records.forEach(txn::write);
     }
     for (Pending p : batch) {
-      queue.remove(p.spec.id());
-      underWay.put(p.spec.id(), p);
+      queue.remove(p.id());
+      underWay.put(p.id(), p);
     }
     state.txn(
         StateClient.Lane.ANSWER,
         txn,
         result -> {
           accepting--;
-          batch.forEach(p -> underWay.remove(p.spec.id()));
+          batch.forEach(p -> underWay.remove(p.id()));
           if (result instanceof TxnResult.Applied applied) {
             replica.applied(txn, applied.revision());
             batch.forEach(p -> tell(p, Accepted.NEW));
           } else if (result instanceof TxnResult.Conflict conflict) {
             Set<String> failed = new HashSet<>(conflict.failed());
             for (Pending p : batch) {
-              String id = p.spec.id();
-              if (failed.contains(Keys.job(id)) || failed.contains(Keys.finalJob(id))) {
+              if (failed.contains(Keys.job(p.id())) || failed.contains(Keys.finalJob(p.id()))) {
                 tell(p, Accepted.KNOWN);
               } else if (failed.isEmpty()) {
                 tell(p, Accepted.UNAVAILABLE);
               } else {
-                queue.merge(
-                    id,
-                    p,
-                    (a, b) -> {
-                      a.callers.addAll(b.callers);
-                      return a;
-                    });
+                again(p);
               }
             }
+          } else if (result instanceof TxnResult.TooLarge && batch.size() > 1) {
+            // Whichever is too large must not be refused together with the others for ever.
+            batch.forEach(p -> again(new Pending(p.job, p.bytes, true, p.callers)));
+          } else if (result instanceof TxnResult.TooLarge) {
+            tell(batch.get(0), Accepted.TOO_LARGE);
           } else {
             batch.forEach(p -> tell(p, Accepted.UNAVAILABLE));
           }
@@ -151,12 +264,37 @@
         });
   }
 
+  private void again(Pending pending) {
+    queue.merge(
+        pending.id(),
+        pending,
+        (a, b) -> {
+          a.callers.addAll(b.callers);
+          return a;
+        });
+  }
+
   private static void tell(Pending pending, Accepted outcome) {
     pending.callers.forEach(c -> c.accept(outcome));
   }
 
-  /** Asks for a job's current state. */
+  /**
+   * Asks for a job's current state. A job that is to be withdrawn with one that it needs is withdrawn
+   * before the answer, so that this does not depend on a leader being there.
+   */
   public void lookup(String id, Consumer<Lookup> done) {
+    confirm(
+        id,
+        found -> {
+          if (found instanceof Lookup.Live && waits.graph().isDoomed(id)) {
+            withdraw(id, MAX_TRIES, done);
+          } else {
+            done.accept(found);
+          }
+        });
+  }
+
+  private void confirm(String id, Consumer<Lookup> done) {
     Lookup.Final known = finals.getIfPresent(id);
     if (known != null) {
       done.accept(known);
@@ -183,7 +321,7 @@
     Map<String, List<Consumer<Lookup>>> batch = new LinkedHashMap<>();
     Map<String, Job> jobs = new LinkedHashMap<>();
     for (Map.Entry<String, List<Consumer<Lookup>>> e : confirmQueue.entrySet()) {
-      if (batch.size() >= limits.txnOps() * 4) {
+      if (batch.size() >= limits.conditions()) {
         break;
       }
       batch.put(e.getKey(), e.getValue());
@@ -241,36 +379,43 @@
             }
             return;
           }
-          state.get(
-              Keys.finalJob(id),
-              last -> {
-                if (last == null) {
-                  done.accept(new Lookup.Unavailable());
-                } else if (last.value() == null) {
-                  done.accept(new Lookup.Unknown());
-                } else {
-                  try {
-                    Lookup.Final f =
-                        new Lookup.Final(
-                            JobState.of(last.value().text("estado")),
-                            (int) last.value().count("done", 0));
-                    finals.put(id, f);
-                    done.accept(f);
-                  } catch (WireException e) {
-                    done.accept(new Lookup.Unavailable());
-                  }
-                }
-              });
+          readFinal(id, done);
+        });
+  }
+
+  private void readFinal(String id, Consumer<Lookup> done) {
+    state.get(
+        Keys.finalJob(id),
+        last -> {
+          if (last == null) {
+            done.accept(new Lookup.Unavailable());
+          } else if (last.value() == null) {
+            done.accept(new Lookup.Unknown());
+          } else {
+            try {
+              Lookup.Final f = Lookup.Final.read(last.value());
+              know(id, f);
+              done.accept(f);
+            } catch (WireException e) {
+              done.accept(new Lookup.Unavailable());
+            }
+          }
         });
   }
 
+  /** Takes note of a final record: the one place where it becomes known here. */
+  private void know(String id, Lookup.Final end) {
+    finals.put(id, end);
+    waits.learned(id, end);
+  }
+
   /** Withdraws a job unless it is done: gets what the job is from now on. */
   public void withdraw(String id, Consumer<Lookup> done) {
     withdraw(id, MAX_TRIES, done);
   }
 
   private void withdraw(String id, int tries, Consumer<Lookup> done) {
-    lookup(
+    confirm(
         id,
         found -> {
           if (!(found instanceof Lookup.Live live)) {
@@ -281,18 +426,18 @@
             done.accept(new Lookup.Unavailable());
             return;
           }
-          Lookup.Final end =
-              new Lookup.Final(JobState.WITHDRAWN, live.job().finished().cardinality());
-          Txn txn = new Txn().when(Keys.job(id), live.job().revision());
-          addFinal(txn, id, end);
+          Lookup.Final end = withdrawn(live.job());
+          Txn txn = new Txn();
+          addFinal(txn, live.job(), end);
           state.txn(
               StateClient.Lane.ANSWER,
               txn,
               result -> {
                 if (result instanceof TxnResult.Applied applied) {
-                  madeFinal(txn, applied.revision(), id, end);
+                  madeFinal(txn, applied.revision(), Map.of(id, end));
                   done.accept(end);
-                } else if (result instanceof TxnResult.Refused) {
+                } else if (result instanceof TxnResult.Refused
+                    || result instanceof TxnResult.TooLarge) {
                   done.accept(new Lookup.Unavailable());
                 } else {
                   withdraw(id, tries - 1, done);
@@ -301,17 +446,54 @@
         });
   }
 
-  /** Adds the two changes that make a job final; the caller adds the condition. */
-  public static void addFinal(Txn txn, String id, Lookup.Final end) {
-    txn.remove(Keys.job(id))
-        .write(
-            Keys.finalJob(id),
-            Fields.create().with("estado", end.state().wire()).with("done", (long) end.done()));
+  /**
+   * Withdraws the jobs that are to be withdrawn with others, some at a time; the caller asks again
+   * until none is left. Nothing is remembered between two calls: what is to be withdrawn follows
+   * from the records.
+   */
+  public void cascade() {
+    if (cascading || waits.graph().doomed().isEmpty()) {
+      return;
+    }
+    Txn txn = new Txn();
+    Map<String, Lookup.Final> ends = new LinkedHashMap<>();
+    for (Job job : waits.graph().doomed()) {
+      if (txn.ops() + CHANGES_PER_END > limits.txnOps()) {
+        break;
+      }
+      Lookup.Final end = withdrawn(job);
+      addFinal(txn, job, end);
+      ends.put(job.spec().id(), end);
+    }
+    cascading = true;
+    state.txn(
+        StateClient.Lane.ROUND,
+        txn,
+        result -> {
+          cascading = false;
+          if (result instanceof TxnResult.Applied applied) {
+            madeFinal(txn, applied.revision(), ends);
+            cascade();
+          }
+        });
   }
 
-  /** Takes note of a transaction that made a job final. */
-  public void madeFinal(Txn txn, long revision, String id, Lookup.Final end) {
-    finals.put(id, end);
+  private Lookup.Final withdrawn(Job job) {
+    return new Lookup.Final(JobState.WITHDRAWN, job.finished().cardinality(), host.wallMs());
+  }
+
+  /** Adds the changes that make a live job final, on condition that it still is what is known. */
+  public static void addFinal(Txn txn, Job job, Lookup.Final end) {
+    String id = job.spec().id();
+    txn.when(Keys.job(id), job.revision())
+        .remove(Keys.job(id))
+        .write(Keys.finalJob(id), end.write());
+  }
+
+  /** Takes note of a transaction that made jobs final. */
+  public void madeFinal(Txn txn, long revision, Map<String, Lookup.Final> ends) {
+    // First all of them: whoever is told of a removal asks why.
+    ends.forEach(this::know);
     replica.applied(txn, revision);
   }
 }
--- a/src/main/java/fennelthread/jobs/JobTable.java
+++ b/src/main/java/fennelthread/jobs/JobTable.java
@@ -3,6 +3,7 @@
 import fennelthread.state.Keys;
 import fennelthread.state.Replica;
 import fennelthread.wire.Fields;
+import fennelthread.wire.JobSpec;
 import fennelthread.wire.WireException;
 import it.unimi.dsi.fastutil.objects.Object2ObjectLinkedOpenHashMap;
 import java.util.ArrayList;
@@ -12,6 +13,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -28,9 +30,14 @@
     void removed(Job job);
   }
 
+  /** A job whose needs have not all arrived: nothing may be done about it yet. */
+  private record Incomplete(Job job, int parts) {}
+
   private final Object2ObjectLinkedOpenHashMap<String, Job> jobs =
       new Object2ObjectLinkedOpenHashMap<>();
   private final Map<String, Map<String, Fields>> earlyChunks = new HashMap<>();
+  private final Map<String, TreeMap<Integer, List<String>>> needs = new HashMap<>();
+  private final Map<String, Incomplete> incomplete = new HashMap<>();
   private final Map<String, RoundRecord> rounds = new LinkedHashMap<>();
   private final Map<String, List<RoundRecord.Start>> startsByJob = new HashMap<>();
   private final List<Listener> listeners = new ArrayList<>();
@@ -97,6 +104,8 @@
         changedJob(key.substring(Keys.JOB.length()), value, revision);
       } else if (key.startsWith(Keys.FINISHED)) {
         changedChunk(key, value);
+      } else if (key.startsWith(Keys.NEEDS)) {
+        changedNeeds(key, value);
       } else if (key.startsWith(Keys.ROUND)) {
         record(key, value == null ? null : RoundRecord.read(value));
       }
@@ -107,13 +116,50 @@
 
   private void changedJob(String id, Fields value, long revision) throws WireException {
     if (value == null) {
+      incomplete.remove(id);
       Job job = jobs.remove(id);
       if (job != null) {
-        listeners.forEach(l -> l.removed(job));
+        List.copyOf(listeners).forEach(l -> l.removed(job));
       }
       return;
     }
     Job job = Job.read(value, revision);
+    int parts = Job.parts(value);
+    if (parts > 0) {
+      incomplete.put(id, new Incomplete(job, parts));
+      complete(id);
+    } else {
+      add(job);
+    }
+  }
+
+  private void changedNeeds(String key, Fields value) throws WireException {
+    int slash = key.lastIndexOf('/');
+    String id = key.substring(Keys.NEEDS.length(), slash);
+    int part = Integer.parseInt(key.substring(slash + 1));
+    if (value == null) {
+      needs.computeIfPresent(
+          id, (k, parts) -> parts.remove(part) != null && parts.isEmpty() ? null : parts);
+      return;
+    }
+    needs.computeIfAbsent(id, k -> new TreeMap<>()).put(part, value.optTexts(JobSpec.NEEDS));
+    complete(id);
+  }
+
+  /** Adds a job once all its needs have arrived: pages of a list may be of different moments. */
+  private void complete(String id) throws WireException {
+    Incomplete known = incomplete.get(id);
+    if (known == null || needs.getOrDefault(id, new TreeMap<>()).size() < known.parts) {
+      return;
+    }
+    incomplete.remove(id);
+    List<String> all = new ArrayList<>(known.job.spec().needs());
+    needs.get(id).values().forEach(all::addAll);
+    add(known.job.withNeeds(all));
+  }
+
+  private void add(Job job) throws WireException {
+    String id = job.spec().id();
     Map<String, Fields> chunks = earlyChunks.remove(id);
     jobs.put(id, job);
     if (chunks != null) {
--- a/src/main/java/fennelthread/jobs/RoundRecord.java
+++ b/src/main/java/fennelthread/jobs/RoundRecord.java
@@ -1,13 +1,16 @@
 package fennelthread.jobs;
 
+import fennelthread.Constants;
 import fennelthread.wire.Fields;
 import fennelthread.wire.JobSpec;
 import fennelthread.wire.TaskRef;
 import fennelthread.wire.WireException;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * What one round is about to start, written before any start is sent. It names the team and the
@@ -40,6 +43,72 @@
     }
   }
 
+  /**
+   * Spreads a round's starts over records that each fit into a value, in one transaction. Each is
+   * whole by itself, as it was when a round had one: a successor of any version reads them the same.
+   */
+  public static final class Packer {
+    private static final int LONGEST_ATTEMPT = 20;
+
+    private final int mostBytes;
+    private final int mostRecords;
+    private final List<List<Start>> records = new ArrayList<>();
+    private final Set<String> jobs = new HashSet<>();
+    private int left;
+
+    /** Creates a packer for so many records of so many bytes. */
+    public Packer(int mostBytes, int mostRecords) {
+      this.mostBytes = mostBytes;
+      this.mostRecords = mostRecords;
+    }
+
+    /** Makes room for a start, which {@link #add} must then bring; false if there is none. */
+    public boolean makeRoom(JobSpec spec, int task, String machine, long session) {
+      int start =
+          digits(task)
+              + LONGEST_ATTEMPT
+              + machine.length()
+              + digits(session)
+              + Constants.RECORD_BYTES_PER_ENTRY;
+      int head =
+          spec.id().length()
+              // A letter may take several bytes, or be escaped.
+              + 6 * spec.team().length()
+              + Double.toString(spec.cpus()).length()
+              + Double.toString(spec.cards()).length()
+              + Double.toString(spec.memGb()).length()
+              + Constants.RECORD_BYTES_PER_ENTRY;
+      boolean known = jobs.contains(spec.id());
+      if (records.isEmpty() || start + (known ? 0 : head) > left) {
+        int whole = mostBytes - Constants.RECORD_BYTES_PER_ENTRY;
+        if (records.size() >= mostRecords || start + head > whole) {
+          return false;
+        }
+        records.add(new ArrayList<>());
+        jobs.clear();
+        left = whole;
+        known = false;
+      }
+      left -= start + (known ? 0 : head);
+      jobs.add(spec.id());
+      return true;
+    }
+
+    private static int digits(long number) {
+      return Long.toString(number).length();
+    }
+
+    /** Adds the start that room was made for. */
+    public void add(Start start) {
+      records.get(records.size() - 1).add(start);
+    }
+
+    /** The records. */
+    public List<RoundRecord> records() {
+      return records.stream().map(RoundRecord::new).toList();
+    }
+  }
+
   /** The record in the state service's form: jobs once, then their starts. */
   public Fields write() {
     Map<String, List<Object>> jobs = new LinkedHashMap<>();
--- /dev/null
+++ b/src/main/java/fennelthread/jobs/Waits.java
@@ -0,0 +1,123 @@
+package fennelthread.jobs;
+
+import fennelthread.Constants;
+import fennelthread.net.Host;
+import fennelthread.settings.Settings;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Keeps the graph of needs up to date on every controller, leading or not, so that a new leader need
+ * not read first what the old one knew: jobs come and go by the replica, and the final records that
+ * nobody here has written are read, few at a time, until they are known.
+ */
+public final class Waits implements JobTable.Listener, NeedGraph.Listener {
+  private static final Logger log = LoggerFactory.getLogger(Waits.class);
+
+  /** Where final records come from. */
+  interface Ends {
+    /** A final record that was read or written already, or null. */
+    Lookup.Final known(String id);
+
+    /** Reads one; null if there is none or nothing is known. */
+    void read(String id, Consumer<Lookup.Final> done);
+  }
+
+  private final Host host;
+  private final JobTable table;
+  private final Ends ends;
+  private final NeedGraph graph;
+  private final Set<String> asked = new HashSet<>();
+  private final List<NeedGraph.Listener> listeners = new ArrayList<>();
+  private int reading;
+
+  Waits(Host host, JobTable table, Settings settings, Ends ends) {
+    this.host = host;
+    this.table = table;
+    this.ends = ends;
+    this.graph = new NeedGraph(settings::lastDeadlineS, this);
+    table.listen(this);
+  }
+
+  /** What is known, to be asked and not changed. */
+  public NeedGraph graph() {
+    return graph;
+  }
+
+  /** Adds a listener. */
+  public void listen(NeedGraph.Listener listener) {
+    listeners.add(listener);
+  }
+
+  /** Removes a listener. */
+  public void ignore(NeedGraph.Listener listener) {
+    listeners.remove(listener);
+  }
+
+  @Override
+  public void added(Job job) {
+    graph.add(job, id -> table.get(id) != null, ends::known);
+    readUnknown();
+  }
+
+  @Override
+  public void removed(Job job) {
+    String id = job.spec().id();
+    graph.remove(id);
+    Lookup.Final end = ends.known(id);
+    if (end != null) {
+      graph.learn(id, end);
+    }
+    readUnknown();
+  }
+
+  /** A final record was read or written here. */
+  void learned(String id, Lookup.Final end) {
+    graph.learn(id, end);
+  }
+
+  private void readUnknown() {
+    for (String id : List.copyOf(graph.unknown())) {
+      if (reading >= Constants.END_READS_AT_ONCE) {
+        return;
+      }
+      if (!asked.add(id)) {
+        continue;
+      }
+      reading++;
+      ends.read(
+          id,
+          end -> {
+            reading--;
+            if (end != null) {
+              asked.remove(id);
+            } else {
+              // Unreachable, or live in truth and not yet known to be here: asked again later.
+              host.after(
+                  (long) (Constants.END_READ_PAUSE_MS * (1 + Constants.JITTER * host.random().nextDouble())),
+                  () -> {
+                    asked.remove(id);
+                    readUnknown();
+                  });
+            }
+            readUnknown();
+          });
+    }
+  }
+
+  @Override
+  public void moved(Job job, NeedGraph.Phase to) {
+    log.debug("{} is {}", job.spec().id(), to);
+    List.copyOf(listeners).forEach(l -> l.moved(job, to));
+  }
+
+  @Override
+  public void lent(String id) {
+    List.copyOf(listeners).forEach(l -> l.lent(id));
+  }
+}
--- a/src/main/java/fennelthread/lead/Load.java
+++ b/src/main/java/fennelthread/lead/Load.java
@@ -26,8 +26,8 @@
   private Snapshot.Host host;
   private final Map<String, double[]> used = new HashMap<>(4);
 
-  /** Brings it up to date; {@code specs} gives a live job's spec, or null. */
-  void update(Machine m, Flavor type, Fleet fleet, Function<String, JobSpec> specs) {
+  /** Brings it up to date; {@code runs} gives what is known of a live job, or null. */
+  void update(Machine m, Flavor type, Fleet fleet, Function<String, Run> runs) {
     if (version == m.version() && flavor == type) {
       return;
     }
@@ -50,10 +50,11 @@
       cpus -= s.cpus();
       cards -= s.cards();
       mem -= s.memGb();
-      JobSpec spec = specs.apply(s.task().job());
-      if (spec == null) {
+      Run run = runs.apply(s.task().job());
+      if (run == null) {
         continue;
       }
+      JobSpec spec = run.job().spec();
       classes.merge(spec.jobClass(), 1, Integer::sum);
       if (a.phase() == Attempt.Phase.RUNNING || a.phase() == Attempt.Phase.FLUSHING) {
         fleet.cached(m, spec.image(), spec.imageGb());
@@ -64,6 +65,7 @@
         running.add(
             new Snapshot.Running(
                 spec,
+                run.priority(),
                 s.task().index(),
                 s.attempt(),
                 m.name(),
--- a/src/main/java/fennelthread/lead/Run.java
+++ b/src/main/java/fennelthread/lead/Run.java
@@ -3,6 +3,8 @@
 import fennelthread.Constants;
 import fennelthread.fleet.Attempt;
 import fennelthread.jobs.Job;
+import fennelthread.jobs.NeedGraph;
+import fennelthread.wire.Priority;
 import it.unimi.dsi.fastutil.ints.Int2IntOpenHashMap;
 import it.unimi.dsi.fastutil.ints.Int2LongOpenHashMap;
 import it.unimi.dsi.fastutil.ints.Int2ObjectOpenHashMap;
@@ -16,6 +18,15 @@
 
 /** What the leader knows of a live job beyond its record: its attempts, ends and pauses. */
 final class Run {
+
+  /** Whether the job's tasks may be placed. */
+  enum Phase {
+    /** Jobs that it needs are not proven to be done: no part of any demand, limit or round. */
+    WAITING,
+    /** It waits for no other job. */
+    RELEASED
+  }
+
   private final Job job;
   private final BitSet finished = new BitSet();
   private final BitSet durable = new BitSet();
@@ -25,14 +36,16 @@
   private final Int2IntOpenHashMap refusals = new Int2IntOpenHashMap();
   private final Set<String> failedMachines = new HashSet<>();
   private final TreeSet<Integer> dirtyChunks = new TreeSet<>();
-  private final long order;
+  private Phase phase = Phase.WAITING;
+  private long order;
+  private long releasedWallMs;
+  private NeedGraph.Loan loan;
   private int failures;
   private int unfinished;
 
-  /** Creates what is known of a job; {@code order} is its place among the jobs of the term. */
-  Run(Job job, long order) {
+  /** Creates what is known of a job that waits until it is released. */
+  Run(Job job) {
     this.job = job;
-    this.order = order;
     finished.or(job.finished());
     durable.or(job.finished());
     idle.set(0, job.spec().tasks());
@@ -40,10 +53,47 @@
     unfinished = job.spec().tasks() - finished.cardinality();
   }
 
+  /**
+   * The one way from waiting to released; {@code order} is its place among the released jobs of the
+   * term, {@code wallMs} the time of day from which it no longer waited.
+   */
+  void release(long order, long wallMs) {
+    if (phase != Phase.WAITING) {
+      throw new IllegalStateException(job.spec().id() + " is released already");
+    }
+    phase = Phase.RELEASED;
+    this.order = order;
+    this.releasedWallMs = wallMs;
+  }
+
+  boolean isReleased() {
+    return phase == Phase.RELEASED;
+  }
+
   long order() {
     return order;
   }
 
+  /** The time of day from which the job's times count, its deadline apart. */
+  long releasedWallMs() {
+    return releasedWallMs;
+  }
+
+  /** Takes note of what the job has from those that need it; null if none does. */
+  void lend(NeedGraph.Loan lent) {
+    loan = lent;
+  }
+
+  NeedGraph.Loan loan() {
+    return loan;
+  }
+
+  /** The most urgent priority among the job's own and those of the jobs that need it. */
+  Priority priority() {
+    Priority own = job.spec().priority();
+    return loan == null || own.compareTo(loan.priority()) < 0 ? own : loan.priority();
+  }
+
   Job job() {
     return job;
   }
--- a/src/main/java/fennelthread/lead/Term.java
+++ b/src/main/java/fennelthread/lead/Term.java
@@ -10,6 +10,7 @@
 import fennelthread.jobs.JobStore;
 import fennelthread.jobs.JobTable;
 import fennelthread.jobs.Lookup;
+import fennelthread.jobs.NeedGraph;
 import fennelthread.jobs.RoundRecord;
 import fennelthread.net.Answer;
 import fennelthread.net.Host;
@@ -19,6 +20,7 @@
 import fennelthread.settings.Options;
 import fennelthread.settings.Settings;
 import fennelthread.state.Keys;
+import fennelthread.state.Limits;
 import fennelthread.state.Replica;
 import fennelthread.state.StateClient;
 import fennelthread.state.Txn;
@@ -49,7 +51,7 @@
  * One leader's term: everything the leader knows beyond the state service, made anew at each claim
  * and thrown away when leading ends.
  */
-public final class Term implements Fleet.Listener, JobTable.Listener {
+public final class Term implements Fleet.Listener, JobTable.Listener, NeedGraph.Listener {
   private static final Logger log = LoggerFactory.getLogger(Term.class);
 
   /** How far the term is. */
@@ -69,6 +71,8 @@
   private final Replica replica;
   private final JobTable table;
   private final JobStore store;
+  private final NeedGraph needs;
+  private final Limits limits;
   private final Lease lease;
   private final Supplier<Map<String, Flavor>> flavors;
   private final Fleet fleet;
@@ -114,6 +118,8 @@
     this.replica = replica;
     this.table = table;
     this.store = store;
+    this.needs = store.waits().graph();
+    this.limits = state.limits();
     this.lease = lease;
     this.flavors = flavors;
     this.epoch = lease.epoch();
@@ -157,6 +163,7 @@
     fleet.close();
     rentals.close();
     table.ignore(this);
+    store.waits().ignore(this);
   }
 
   private void moveTo(Phase next) {
@@ -175,13 +182,14 @@
     for (RoundRecord record : table.rounds().values()) {
       record.starts().forEach(fleet::inherit);
     }
-    table.all().forEach(job -> runs.put(job.spec().id(), new Run(job, ++jobSeq)));
+    table.all().forEach(this::begin);
     for (Machine m : fleet.machines()) {
       for (Attempt a : m.attempts()) {
         attach(a);
       }
     }
     table.listen(this);
+    store.waits().listen(this);
     moveTo(Phase.ACTIVE);
     for (Machine m : List.copyOf(fleet.machines())) {
       fleet.probe(m);
@@ -202,6 +210,7 @@
     if (phase == Phase.ACTIVE) {
       watchNotices();
       flush();
+      store.cascade();
       if (host.nowMs() - lastRoundAt >= Constants.ROUND_IDLE_MS) {
         changed();
       }
@@ -230,8 +239,7 @@
 
   @Override
   public void added(Job job) {
-    Run run = new Run(job, ++jobSeq);
-    runs.put(job.spec().id(), run);
+    begin(job);
     log.debug(
         "{} of {} is new: {} tasks of image {}",
         job.spec().id(),
@@ -241,6 +249,54 @@
     changed();
   }
 
+  private void begin(Job job) {
+    String id = job.spec().id();
+    Run run = new Run(job);
+    run.lend(needs.loan(id));
+    runs.put(id, run);
+    if (needs.isReleased(job)) {
+      release(run);
+    }
+  }
+
+  /** From now on the job counts: as the last one of its team, however long ago it was submitted. */
+  private void release(Run run) {
+    String id = run.job().spec().id();
+    runs.remove(id);
+    runs.put(id, run);
+    run.release(++jobSeq, needs.releasedMs(run.job()));
+  }
+
+  @Override
+  public void moved(Job job, NeedGraph.Phase to) {
+    Run run = runs.get(job.spec().id());
+    if (to == NeedGraph.Phase.DOOMED) {
+      store.cascade();
+    } else if (run != null) {
+      release(run);
+      changed();
+    }
+  }
+
+  @Override
+  public void lent(String id) {
+    Run run = runs.get(id);
+    if (run == null) {
+      return;
+    }
+    run.lend(needs.loan(id));
+    for (List<Attempt> attempts : run.attempts().values()) {
+      for (Attempt a : attempts) {
+        // What a machine carries is added up anew only if the machine has changed.
+        Machine m = fleet.get(a.start().machine());
+        if (m != null) {
+          m.touch();
+        }
+      }
+    }
+    changed();
+  }
+
   @Override
   public void removed(Job job) {
     Run run = runs.remove(job.spec().id());
@@ -502,26 +558,29 @@
     }
     Txn txn = new Txn().when(Keys.EPOCH, lease.epochRevision());
     Map<Machine, List<Attempt>> byMachine = new LinkedHashMap<>();
-    List<RoundRecord.Start> starts = new ArrayList<>();
+    RoundRecord.Packer records = new RoundRecord.Packer(limits.valueBytes(), limits.txnOps());
     Set<String> jobs = new HashSet<>();
-    int mostJobs = settings.state().txnOps() * 4 - 1;
     for (Plan.Start s : plan.starts()) {
-      Run run = runs.get(s.spec().id());
-      if (!jobs.contains(s.spec().id()) && jobs.size() >= mostJobs) {
+      String id = s.spec().id();
+      Run run = runs.get(id);
+      Machine m = fleet.get(s.machine());
+      if ((!jobs.contains(id) && txn.conditions() >= limits.conditions())
+          || !records.makeRoom(s.spec(), s.task(), m.name(), m.session())) {
+        // The next round's turn.
         continue;
       }
-      if (jobs.add(s.spec().id())) {
+      if (jobs.add(id)) {
         // A job that was withdrawn meanwhile fails the whole record.
-        txn.when(Keys.job(s.spec().id()), run.job().revision());
+        txn.when(Keys.job(id), run.job().revision());
       }
-      Machine m = fleet.get(s.machine());
       Attempt a = fleet.create(m, s.spec(), s.task());
       run.attach(a);
       byMachine.computeIfAbsent(m, k -> new ArrayList<>()).add(a);
-      starts.add(a.start());
+      records.add(a.start());
+    }
+    for (RoundRecord record : records.records()) {
+      txn.write(Keys.ROUND + String.format("%010d-%08d", epoch, ++roundSeq), record.write());
     }
-    String key = Keys.ROUND + String.format("%010d-%08d", epoch, ++roundSeq);
-    txn.write(key, new RoundRecord(starts).write());
     roundRunning = true;
     state.txn(
         StateClient.Lane.ROUND,
@@ -601,6 +660,10 @@
     double total = 0;
     Map<Run, List<Integer>> waiting = new LinkedHashMap<>();
     for (Run run : runs.values()) {
+      if (!run.isReleased()) {
+        // The gate: nothing of a job that waits for others gets into a round.
+        continue;
+      }
       total += run.unfinished() * run.job().spec().cpus();
       if (run.hasIdle()) {
         List<Integer> tasks = run.pending(now, mostStarts * 4);
@@ -618,7 +681,7 @@
     List<Snapshot.Host> hosts = new ArrayList<>();
     for (Machine m : fleet.machines()) {
       Load load = loads.computeIfAbsent(m, k -> new Load());
-      load.update(m, types.get(m.type()), fleet, this::liveSpec);
+      load.update(m, types.get(m.type()), fleet, runs::get);
       load.addTo(used);
       if (load.host() != null && fleet.isReady(m)) {
         hosts.add(load.host());
@@ -638,17 +701,16 @@
   private int mostStarts() {
     return Math.min(
         Constants.STARTS_PER_ROUND,
-        (settings.state().valueBytes() - Constants.VALUE_SLACK_BYTES)
-            / Constants.RECORD_BYTES_PER_START);
+        limits.txnOps() * limits.valueBytes() / Constants.RECORD_BYTES_PER_START);
   }
 
   private Snapshot.Need need(Run run, List<Integer> tasks, Set<String> guaranteed) {
     JobSpec spec = run.job().spec();
-    double age = (host.wallMs() - run.job().acceptedWallMs()) / 1000.0;
     double takes = estimate(spec);
-    double slack = slackS(spec, age, takes);
+    double slack = slackS(run, takes);
     return new Snapshot.Need(
         spec,
+        run.priority(),
         tasks,
         spec.onePlace() || spec.apart() ? zonesOf(run) : Map.of(),
         slack >= 0 && guaranteed.contains(spec.id()),
@@ -660,17 +722,27 @@
   }
 
   /**
-   * What is left to the next of the times that the job's deadline and the objectives set, or less
-   * than 0 if it is too late for all of them. A job that has been late for long counts as in time
-   * again: it must not wait for ever.
+   * What is left to the next of the times that the job's deadline, the objectives and the deadlines
+   * of the jobs that need it set, or less than 0 if it is too late for all of them. A job that has
+   * been late for long counts as in time again: it must not wait for ever.
    */
-  private double slackS(JobSpec spec, double ageS, double takesS) {
+  private double slackS(Run run, double takesS) {
+    JobSpec spec = run.job().spec();
     if (spec.service()) {
       return Double.MAX_VALUE;
     }
+    long accepted = run.job().acceptedWallMs();
+    double ageS = (host.wallMs() - accepted) / 1000.0;
+    double waitedS = (run.releasedWallMs() - accepted) / 1000.0;
+    List<Double> times = settings.doneByS(spec.jobClass(), spec.deadlineS(), waitedS);
+    NeedGraph.Loan loan = run.loan();
+    if (loan != null && loan.dueMs() > 0) {
+      times.add((loan.dueMs() - accepted) / 1000.0);
+      times.add((loan.lastDueMs() - accepted) / 1000.0);
+    }
     double last = 0;
     double next = Double.MAX_VALUE;
-    for (double at : settings.doneByS(spec.jobClass(), spec.deadlineS())) {
+    for (double at : times) {
       last = Math.max(last, at);
       if (at - ageS - takesS >= 0) {
         next = Math.min(next, at);
@@ -682,11 +754,6 @@
     return last == 0 || ageS > last * Constants.LATE_PATIENCE ? Double.MAX_VALUE : last - ageS - takesS;
   }
 
-  private JobSpec liveSpec(String job) {
-    Run run = runs.get(job);
-    return run == null ? null : run.job().spec();
-  }
-
   /** A team's oldest jobs are within its guarantee, as far as they fit into it together. */
   private Set<String> guaranteedJobs() {
     Set<String> guaranteed = new HashSet<>();
@@ -694,7 +761,7 @@
     for (Run run : runs.values()) {
       JobSpec spec = run.job().spec();
       Settings.Team team = settings.teams().get(spec.team());
-      if (team == null || (team.cpus() <= 0 && team.cards() <= 0)) {
+      if (!run.isReleased() || team == null || (team.cpus() <= 0 && team.cards() <= 0)) {
         continue;
       }
       double[] d = demanded.computeIfAbsent(spec.team(), k -> new double[2]);
@@ -731,23 +798,22 @@
     if (flushing || dirty.isEmpty() || phase != Phase.ACTIVE) {
       return;
     }
-    int ops = settings.state().txnOps();
     Txn txn = new Txn().when(Keys.EPOCH, lease.epochRevision());
     Map<Run, BitSet> written = new LinkedHashMap<>();
-    Map<Run, Lookup.Final> ends = new LinkedHashMap<>();
+    Map<String, Lookup.Final> ends = new LinkedHashMap<>();
     for (Run run : dirty) {
-      if (run.unfinished() == 0 && txn.ops() + 2 <= ops) {
-        String id = run.job().spec().id();
-        Lookup.Final end = new Lookup.Final(JobState.DONE, run.job().spec().tasks());
-        JobStore.addFinal(txn, id, end);
-        txn.when(Keys.job(id), run.job().revision());
-        ends.put(run, end);
+      if (run.unfinished() == 0
+          && txn.ops() + JobStore.CHANGES_PER_END <= limits.txnOps()) {
+        Lookup.Final end =
+            new Lookup.Final(JobState.DONE, run.job().spec().tasks(), host.wallMs());
+        JobStore.addFinal(txn, run.job(), end);
+        ends.put(run.job().spec().id(), end);
       }
     }
     if (ends.isEmpty() && host.nowMs() - partsFlushedAt >= Constants.FLUSH_PARTS_MS) {
       boolean all = true;
       for (Run run : dirty) {
-        all &= addParts(run, txn, ops, written);
+        all &= addParts(run, txn, written);
       }
       if (all) {
         partsFlushedAt = host.nowMs();
@@ -773,13 +839,8 @@
                     dirty.remove(run);
                   }
                 });
-            ends.forEach(
-                (run, end) -> {
-                  dirty.remove(run);
-                  store.madeFinal(txn, applied.revision(), run.job().spec().id(), end);
-                  runs.remove(run.job().spec().id());
-                });
-            replica.applied(txn, applied.revision());
+            store.madeFinal(txn, applied.revision(), ends);
+            ends.keySet().forEach(id -> dirty.remove(runs.remove(id)));
             flush();
             changed();
           } else {
@@ -794,24 +855,20 @@
   }
 
   /** Adds a job's newly finished tasks as far as the transaction has room; true if all fitted. */
-  private static boolean addParts(Run run, Txn txn, int ops, Map<Run, BitSet> written) {
+  private boolean addParts(Run run, Txn txn, Map<Run, BitSet> written) {
     String id = run.job().spec().id();
     BitSet covered = run.job().finished().get(0, run.job().spec().tasks());
     boolean all = true;
     boolean any = false;
     for (int chunk : run.dirtyChunks()) {
-      if (txn.ops() >= ops) {
+      if (txn.ops() >= limits.txnOps() || txn.conditions() >= limits.conditions()) {
         all = false;
         break;
       }
       any = true;
-      txn.write(Keys.finished(id, chunk), Job.writeChunk(chunk, run.finishedTasks()));
-      int from = chunk * Constants.TASKS_PER_CHUNK;
-      for (int i = from; i < from + Constants.TASKS_PER_CHUNK; i++) {
-        if (run.isFinished(i)) {
-          covered.set(i);
-        }
-      }
+      txn.write(
+          Keys.finished(id, chunk),
+          Job.writeChunk(chunk, run.finishedTasks(), limits.valueBytes(), covered));
     }
     if (any) {
       txn.when(Keys.job(id), run.job().revision());
@@ -831,7 +888,7 @@
     }
     sweptAt = host.nowMs();
     Txn txn = new Txn().when(Keys.EPOCH, lease.epochRevision());
-    int most = settings.state().txnOps();
+    int most = limits.txnOps();
     String ours = Keys.ROUND + String.format("%010d", epoch);
     for (Map.Entry<String, RoundRecord> e : table.rounds().entrySet()) {
       if (txn.ops() >= most) {
@@ -855,6 +912,16 @@
         txn.remove(key);
       }
     }
+    for (String key : replica.keys(Keys.NEEDS).keySet()) {
+      if (txn.ops() >= most) {
+        break;
+      }
+      String id = key.substring(Keys.NEEDS.length(), key.lastIndexOf('/'));
+      if (table.get(id) == null) {
+        // Its job came after it, or is over: which of them, the condition tells.
+        txn.when(Keys.job(id), 0).remove(key);
+      }
+    }
     if (txn.ops() == 0) {
       return;
     }
--- a/src/main/java/fennelthread/mesh/Mesh.java
+++ b/src/main/java/fennelthread/mesh/Mesh.java
@@ -28,7 +28,8 @@
 
   /**
    * What a greeting says of its sender; {@code workers} and {@code gone} are what has changed of the
-   * workers' addresses since the last greeting that the receiver has answered.
+   * workers' addresses since the last greeting that the receiver has answered. {@code chains} is
+   * true if the sender makes jobs wait for others: versions that do not, leave the field out.
    */
   public record Greeting(
       String member,
@@ -37,12 +38,14 @@
       boolean leading,
       long servedAgoMs,
       long beatsHeard,
+      boolean chains,
       Map<String, String> workers,
       List<String> gone) {
 
     Greeting with(Map<String, String> newWorkers, List<String> newGone) {
       return new Greeting(
-          member, incarnation, epoch, leading, servedAgoMs, beatsHeard, newWorkers, newGone);
+          member, incarnation, epoch, leading, servedAgoMs, beatsHeard, chains, newWorkers,
+          newGone);
     }
 
     Fields write() {
@@ -53,6 +56,7 @@
           .with("leading", leading)
           .with("served_ago_ms", servedAgoMs)
           .with("beats_heard", beatsHeard)
+          .with("chains", chains)
           .with("workers", workers)
           .with("gone", gone);
     }
@@ -73,6 +77,7 @@
           f.flag("leading"),
           f.count("served_ago_ms"),
           f.count("beats_heard"),
+          f.optFlag("chains"),
           workers,
           f.optTexts("gone") == null ? List.of() : f.optTexts("gone"));
     }
@@ -253,6 +258,21 @@
         .anyMatch(p -> p.last != null && p.heardAt - p.last.servedAgoMs() > time);
   }
 
+  /**
+   * True if a sibling that was heard lately does not make jobs wait for others. One that is silent
+   * does not count: it may be gone for good.
+   */
+  public boolean oldSiblingHeard() {
+    for (Peer p : peers.values()) {
+      if (p.last != null
+          && !p.last.chains()
+          && host.nowMs() - p.heardAt < Constants.OLD_SIBLING_MS) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   /** Reports that siblings heard lately say they get and redirect. */
   public long siblingsHearBeats() {
     long heardBeats = 0;
--- a/src/main/java/fennelthread/plan/Planner.java
+++ b/src/main/java/fennelthread/plan/Planner.java
@@ -42,7 +42,7 @@
    * come before one large one.
    */
   static final Comparator<Snapshot.Need> ORDER =
-      Comparator.<Snapshot.Need>comparingInt(n -> n.spec().priority().ordinal())
+      Comparator.<Snapshot.Need>comparingInt(n -> n.priority().ordinal())
           .thenComparing(Snapshot.Need::late)
           .thenComparing(n -> !n.withinGuarantee())
           .thenComparingDouble(Snapshot.Need::work)
@@ -239,7 +239,7 @@
       Claim claim =
           new Claim(
               shape,
-              spec.priority(),
+              need.priority(),
               need.withinGuarantee() ? spec.team() : null,
               cachedOnly ? spec.image() : null);
       if (!anyToStop(need) || (!zoned && hopeless.contains(claim))) {
@@ -322,7 +322,7 @@
         if (r.stopping()) {
           room.coming(r);
         } else {
-          stoppable[r.spec().priority().ordinal()]++;
+          stoppable[r.priority().ordinal()]++;
         }
       }
       coming.set(room.index, room.isComing());
@@ -454,7 +454,7 @@
       return null;
     }
     candidates.sort(
-        Comparator.<Snapshot.Running>comparingInt(r -> -r.spec().priority().ordinal())
+        Comparator.<Snapshot.Running>comparingInt(r -> -r.priority().ordinal())
             .thenComparingDouble(r -> r.runS(snapshot.nowMs())));
     double cpus = room.cpus + room.comingCpus;
     double cards = room.cards + room.comingCards;
@@ -480,7 +480,7 @@
 
   /** False if no running work anywhere comes later than the need. */
   private boolean anyToStop(Snapshot.Need need) {
-    int rank = need.spec().priority().ordinal();
+    int rank = need.priority().ordinal();
     for (int i = need.withinGuarantee() ? rank : rank + 1; i < stoppable.length; i++) {
       if (stoppable[i] > 0) {
         return true;
@@ -494,7 +494,7 @@
    * borrowed work of higher priority, which took the room back in the next round, over and over.
    */
   private boolean mayStop(Snapshot.Need need, Snapshot.Running r) {
-    int order = r.spec().priority().compareTo(need.spec().priority());
+    int order = r.priority().compareTo(need.priority());
     if (order != 0) {
       return order > 0;
     }
--- a/src/main/java/fennelthread/plan/Snapshot.java
+++ b/src/main/java/fennelthread/plan/Snapshot.java
@@ -1,6 +1,7 @@
 package fennelthread.plan;
 
 import fennelthread.wire.JobSpec;
+import fennelthread.wire.Priority;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -38,13 +39,14 @@
       List<Running> running) {}
 
   /**
-   * A job with tasks to place. {@code zones} counts its tasks that may be present, by zone; only
+   * A job with tasks to place; {@code priority} is its own or that of a job that needs it. {@code zones} counts its tasks that may be present, by zone; only
    * jobs with a rule about zones need it. A {@code late} job can't meet any time set for it any
    * more; {@code slackS} is what is left to the next such time, {@code work} the CPU seconds that
    * its waiting tasks still take.
    */
   public record Need(
       JobSpec spec,
+      Priority priority,
       List<Integer> tasks,
       Map<String, Integer> zones,
       boolean withinGuarantee,
@@ -54,9 +56,13 @@
       double work,
       long order) {}
 
-  /** A task that may be stopped; {@code sinceMs} is when it began to run, or -1. */
+  /**
+   * A task that may be stopped; {@code sinceMs} is when it began to run, or -1, {@code priority} its
+   * job's own or that of a job that needs it.
+   */
   public record Running(
       JobSpec spec,
+      Priority priority,
       int task,
       long attempt,
       String machine,
--- a/src/main/java/fennelthread/settings/Settings.java
+++ b/src/main/java/fennelthread/settings/Settings.java
@@ -8,6 +8,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.fasterxml.jackson.dataformat.toml.TomlFactory;
 import fennelthread.Constants;
+import fennelthread.wire.JobSpec;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -46,8 +47,18 @@
   /** Timing of workers. */
   public record Workers(long reportMs, long leaseMs, long cancelMs) {}
 
-  /** Limits of the state service. */
-  public record State(double rps, double writeRps, int valueBytes, int txnOps) {}
+  /** Limits of the state service: of those it has now and those it will have, the lower ones. */
+  public record State(double rps, double writeRps, int valueBytes, int txnOps) {
+
+    /** The lower of each limit: the change comes without notice. */
+    State lowest(State next) {
+      return new State(
+          Math.min(rps, next.rps),
+          Math.min(writeRps, next.writeRps),
+          Math.min(valueBytes, next.valueBytes),
+          Math.min(txnOps, next.txnOps));
+    }
+  }
 
   /** Limits of the cloud. */
   public record Cloud(double rps, long listLagMs) {}
@@ -64,9 +75,10 @@
 
   /**
    * The times from its submission by which a job of the class should be done, s: its own deadline,
-   * that deadline times what objectives allow, and what objectives say of the class.
+   * that deadline times what objectives allow, and what objectives say of the class. The deadline
+   * counts from the submission, all else from when the job no longer {@code waitedS} for others.
    */
-  public List<Double> doneByS(String jobClass, double deadlineS) {
+  public List<Double> doneByS(String jobClass, double deadlineS, double waitedS) {
     List<Double> times = new ArrayList<>();
     if (deadlineS > 0) {
       times.add(deadlineS);
@@ -76,7 +88,7 @@
         continue;
       }
       if (o.kind().equals("finished") && o.withinS() > 0) {
-        times.add(o.withinS());
+        times.add(waitedS + o.withinS());
       } else if (o.kind().equals("deadline") && deadlineS > 0 && o.times() > 0) {
         times.add(deadlineS * o.times());
       }
@@ -84,6 +96,17 @@
     return times;
   }
 
+  /** The last time from its submission that its deadline and the objectives set for a job, s. */
+  public double lastDeadlineS(JobSpec spec) {
+    double last = spec.deadlineS();
+    for (Objective o : objectives) {
+      if (o.kind().equals("deadline") && spec.jobClass().equals(o.jobClass())) {
+        last = Math.max(last, spec.deadlineS() * o.times());
+      }
+    }
+    return last;
+  }
+
   /** How many connections of our own we may have at once. */
   public int mostOutbound() {
     return Math.max(4, (int) (maxConnections * Constants.OUTBOUND_SHARE));
@@ -199,17 +222,33 @@
               millis(workers, "cluster.workers.", "report_s"),
               millis(workers, "cluster.workers.", "lease_s"),
               millis(workers, "cluster.workers.", "cancel_s")),
-          new State(
-              number(state, "cluster.state.", "rps", 1, null),
-              number(state, "cluster.state.", "write_rps", 1, null),
-              (int) (number(state, "cluster.state.", "value_kb", 1, null) * 1024),
-              (int) number(state, "cluster.state.", "txn_ops", 2, null)),
+          limits(state, "cluster.state.", null),
           new Cloud(
               number(cloud, "cluster.cloud.", "rps", 0.01, null),
               millis(cloud, "cluster.cloud.", "list_lag_s")),
           (int) number(limits, "cluster.machine_limits.", "max_connections", 16, 1024.0));
     }
 
+    /** Reads limits; those absent are as {@code known} has them, or missing if that is null. */
+    private State limits(JsonNode in, String at, State known) throws SettingsException {
+      State here =
+          new State(
+              number(in, at, "rps", 1, known == null ? null : known.rps),
+              number(in, at, "write_rps", 1, known == null ? null : known.writeRps),
+              (int)
+                  (number(in, at, "value_kb", 1, known == null ? null : known.valueBytes / 1024.0)
+                      * 1024),
+              (int) number(in, at, "txn_ops", 2, known == null ? null : (double) known.txnOps));
+      if (known != null) {
+        return known.lowest(here);
+      }
+      JsonNode next = in.path("next");
+      if (next.isMissingNode()) {
+        return here;
+      }
+      return limits(object(in, at, "next"), at + "next.", here);
+    }
+
     private JsonNode object(String name) throws SettingsException {
       return object(root, "", name);
     }
--- a/src/main/java/fennelthread/state/Keys.java
+++ b/src/main/java/fennelthread/state/Keys.java
@@ -26,6 +26,12 @@
   /** Prefix of round records. */
   public static final String ROUND = LIVE + "round/";
 
+  /**
+   * Prefix of the needs that found no room in a live job's own record, per job and part. It sorts
+   * before {@link #JOB}: a copy that loads in order has the needs before the job.
+   */
+  public static final String NEEDS = LIVE + "chain/";
+
   private static final String FINAL = "final/";
 
   private Keys() {}
@@ -40,6 +46,11 @@
     return FINAL + id;
   }
 
+  /** One part of a job's needs beyond those in its record. */
+  public static String needs(String id, int part) {
+    return NEEDS + id + "/" + part;
+  }
+
   /** One chunk of a job's finished tasks. */
   public static String finished(String id, int chunk) {
     return FINISHED + id + "/" + chunk;
--- a/src/main/java/fennelthread/state/StateClient.java
+++ b/src/main/java/fennelthread/state/StateClient.java
@@ -72,6 +72,7 @@
 
   private final Host host;
   private final String address;
+  private final Limits limits;
   private final Bucket requests;
   private final Bucket changes;
   private final Map<Lane, ArrayDeque<Waiting>> waiting = new EnumMap<>(Lane.class);
@@ -86,6 +87,7 @@
   public StateClient(Host host, Settings settings) {
     this.host = host;
     this.address = settings.stateAddr();
+    this.limits = new Limits(settings.state());
     for (Lane lane : Lane.values()) {
       waiting.put(lane, new ArrayDeque<>());
     }
@@ -125,6 +127,11 @@
     return lastOkAt;
   }
 
+  /** How large values and transactions may be. */
+  public Limits limits() {
+    return limits;
+  }
+
   /** Malformed answers seen so far. */
   public long malformed() {
     return malformed;
@@ -197,11 +204,11 @@
             call(
                 Call.post("/multi", Codec.CBOR, txn.body()),
                 Constants.STATE_TIMEOUT_MS,
-                answer -> done.accept(result(answer))),
+                answer -> done.accept(result(txn, answer))),
         () -> done.accept(new TxnResult.Refused("too many requests wait")));
   }
 
-  private TxnResult result(Answer answer) {
+  private TxnResult result(Txn txn, Answer answer) {
     if (answer == null) {
       return new TxnResult.Unknown();
     }
@@ -216,10 +223,14 @@
                 ? List.of() : f.optTexts("failed")));
         return conflict == null ? new TxnResult.Refused("conflict") : conflict;
       }
-      case 400, 429, 503 -> {
-        if (answer.status() == 400) {
-          log.info("transaction refused with 400");
+      case 400 -> {
+        if (!txn.isBound()) {
+          // With a grant, the reason is that it has ended.
+          limits.refused(txn);
         }
+        return new TxnResult.TooLarge();
+      }
+      case 429, 503 -> {
         return new TxnResult.Refused("status " + answer.status());
       }
       default -> {
--- a/src/main/java/fennelthread/state/Txn.java
+++ b/src/main/java/fennelthread/state/Txn.java
@@ -39,6 +39,11 @@
     return this;
   }
 
+  /** True if it writes a key that vanishes with a grant. */
+  boolean isBound() {
+    return boundKey != null;
+  }
+
   /** How many puts and deletes it holds. */
   public int ops() {
     return writes.size() + removes.size();
--- a/src/main/java/fennelthread/state/TxnResult.java
+++ b/src/main/java/fennelthread/state/TxnResult.java
@@ -13,6 +13,9 @@
   /** Not applied, for another reason: an outage, the rate, a lost grant. */
   record Refused(String why) implements TxnResult {}
 
+  /** Not applied and never will be as it is: malformed, which means too large. */
+  record TooLarge() implements TxnResult {}
+
   /** May have been applied, or may still be. */
   record Unknown() implements TxnResult {}
 }
--- a/src/main/java/fennelthread/wire/JobSpec.java
+++ b/src/main/java/fennelthread/wire/JobSpec.java
@@ -1,9 +1,15 @@
 package fennelthread.wire;
 
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.regex.Pattern;
 
-/** A job as its user submits it. Durations are in seconds, memory and images in GB. */
+/**
+ * A job as its user submits it. Durations are in seconds, memory and images in GB; {@code needs}
+ * names the jobs that must be done before any task of this one starts.
+ */
 public record JobSpec(
     String id,
     String jobClass,
@@ -24,7 +30,8 @@
     double estimateS,
     double checkpointS,
     double saveS,
-    double deadlineS) {
+    double deadlineS,
+    List<String> needs) {
 
   /** The value of {@link #deadlineS} for a job that has none. */
   public static final double NO_DEADLINE = -1;
@@ -32,8 +39,46 @@
   /** The protocol's bound on the tasks of one job. */
   public static final int MAX_TASKS = 100_000;
 
+  /** The field that names the jobs which must be done first. */
+  public static final String NEEDS = "espera";
+
   private static final Pattern ID = Pattern.compile("job-[0-9]{1,32}");
 
+  /** A job that needs no other. */
+  public JobSpec(
+      String id,
+      String jobClass,
+      String team,
+      boolean service,
+      Priority priority,
+      int tasks,
+      double cpus,
+      double cards,
+      double memGb,
+      String image,
+      double imageGb,
+      List<String> types,
+      String zone,
+      boolean onePlace,
+      boolean apart,
+      boolean spotAllowed,
+      double estimateS,
+      double checkpointS,
+      double saveS,
+      double deadlineS) {
+    this(
+        id, jobClass, team, service, priority, tasks, cpus, cards, memGb, image, imageGb, types,
+        zone, onePlace, apart, spotAllowed, estimateS, checkpointS, saveS, deadlineS, List.of());
+  }
+
+  /** The same job with other needs. */
+  public JobSpec withNeeds(List<String> others) {
+    return new JobSpec(
+        id, jobClass, team, service, priority, tasks, cpus, cards, memGb, image, imageGb, types,
+        zone, onePlace, apart, spotAllowed, estimateS, checkpointS, saveS, deadlineS,
+        List.copyOf(others));
+  }
+
   /** True if {@code id} has the form of a job id. */
   public static boolean isId(String id) {
     return ID.matcher(id).matches();
@@ -83,12 +128,29 @@
         body.amount("estimado_s"),
         body.amount("resguardo_s"),
         body.amount("guardado_s"),
-        body.amount("plazo_s", NO_DEADLINE));
+        body.amount("plazo_s", NO_DEADLINE),
+        readNeeds(body));
+  }
+
+  /** Each job once; absent, null and empty all mean that there is none. */
+  private static List<String> readNeeds(Fields body) throws WireException {
+    List<String> named = body.optTexts(NEEDS);
+    if (named == null || named.isEmpty()) {
+      return List.of();
+    }
+    Set<String> needs = new LinkedHashSet<>();
+    for (String id : named) {
+      if (!isId(id)) {
+        throw new WireException(NEEDS, "must hold ids of the form job-000412");
+      }
+      needs.add(id);
+    }
+    return List.copyOf(new ArrayList<>(needs));
   }
 
-  /** The submission in the protocol's form. */
+  /** The submission in the protocol's form; a job without needs has the form it always had. */
   public Fields write() {
-    return Fields.create()
+    Fields body = Fields.create()
         .with("name_id", id)
         .with("clase", jobClass)
         .with("dueno", team)
@@ -109,6 +171,7 @@
         .with("resguardo_s", checkpointS)
         .with("guardado_s", saveS)
         .with("plazo_s", deadlineS == NO_DEADLINE ? null : (Object) deadlineS);
+    return needs.isEmpty() ? body : body.with(NEEDS, new ArrayList<Object>(needs));
   }
 
   private static String nonEmpty(Fields body, String name) throws WireException {
--- a/src/test/java/fennelthread/plan/PlainPlanner.java
+++ b/src/test/java/fennelthread/plan/PlainPlanner.java
@@ -280,7 +280,7 @@
       }
     }
     candidates.sort(
-        Comparator.<Snapshot.Running>comparingInt(r -> -r.spec().priority().ordinal())
+        Comparator.<Snapshot.Running>comparingInt(r -> -r.priority().ordinal())
             .thenComparingDouble(r -> r.runS(snapshot.nowMs())));
     double cpus = room.cpus + room.comingCpus;
     double cards = room.cards + room.comingCards;
@@ -309,7 +309,7 @@
    * borrowed work of higher priority, which took the room back in the next round, over and over.
    */
   private boolean mayStop(Snapshot.Need need, Snapshot.Running r) {
-    int order = r.spec().priority().compareTo(need.spec().priority());
+    int order = r.priority().compareTo(need.priority());
     if (order != 0) {
       return order > 0;
     }
--- a/src/test/java/fennelthread/plan/PlannerTest.java
+++ b/src/test/java/fennelthread/plan/PlannerTest.java
@@ -33,7 +33,7 @@
   /** A task of 4 CPUs that runs on machine a since {@code runS} seconds. */
   private static Snapshot.Running running(String id, String team, Priority priority, long runS) {
     return new Snapshot.Running(
-        job(id, team, priority, 1, 4), 0, 1, "a", false, 4, 0, 1, NOW_MS - runS * 1000);
+        job(id, team, priority, 1, 4), priority, 0, 1, "a", false, 4, 0, 1, NOW_MS - runS * 1000);
   }
 
   private static Snapshot snapshot(
@@ -46,7 +46,7 @@
     for (int i = 0; i < count; i++) {
       tasks.add(i);
     }
-    return new Snapshot.Need(spec, tasks, Map.of(), guaranteed, false, false, 100, 1, 1);
+    return new Snapshot.Need(spec, spec.priority(), tasks, Map.of(), guaranteed, false, false, 100, 1, 1);
   }
 
   private static Map<String, Snapshot.Use> teams(double cap) {
@@ -96,9 +96,9 @@
     JobSpec small = job("job-3", "roja", Priority.STANDARD, 1, 4);
     List<Snapshot.Need> needs =
         List.of(
-            new Snapshot.Need(late, List.of(0), Map.of(), false, false, true, -5, 10, 1),
-            new Snapshot.Need(large, List.of(0), Map.of(), false, false, false, 5, 900, 2),
-            new Snapshot.Need(small, List.of(0), Map.of(), false, false, false, 5, 90, 3));
+            new Snapshot.Need(late, late.priority(), List.of(0), Map.of(), false, false, true, -5, 10, 1),
+            new Snapshot.Need(large, large.priority(), List.of(0), Map.of(), false, false, false, 5, 900, 2),
+            new Snapshot.Need(small, small.priority(), List.of(0), Map.of(), false, false, false, 5, 90, 3));
     Plan plan =
         Planner.plan(
             new Snapshot(
@@ -187,7 +187,7 @@
         }
         running.add(
             new Snapshot.Running(
-                spec, 0, k, "m" + i, r.nextInt(5) == 0, spec.cpus(), 0, spec.memGb(),
+                spec, lent(r, spec), 0, k, "m" + i, r.nextInt(5) == 0, spec.cpus(), 0, spec.memGb(),
                 r.nextInt(6) == 0 ? -1 : NOW_MS - r.nextInt(20) * 500L));
       }
       hosts.add(
@@ -214,7 +214,7 @@
       }
       needs.add(
           new Snapshot.Need(
-              spec, list, zones, r.nextBoolean(), r.nextBoolean(), r.nextInt(4) == 0, 1,
+              spec, lent(r, spec), list, zones, r.nextBoolean(), r.nextBoolean(), r.nextInt(4) == 0, 1,
               r.nextInt(9), i));
     }
     Map<String, Snapshot.Use> teams =
@@ -224,6 +224,12 @@
     return new Snapshot(hosts, needs, guaranteed, teams, NOW_MS, 1 + r.nextInt(30));
   }
 
+  /** Now and then a job has the priority of one that needs it. */
+  private static Priority lent(SplittableRandom r, JobSpec spec) {
+    Priority other = Priority.values()[r.nextInt(4)];
+    return r.nextInt(3) == 0 && other.compareTo(spec.priority()) < 0 ? other : spec.priority();
+  }
+
   private static void check(Snapshot s, int seed) {
     Plan plan = Planner.plan(s);
     assertTrue(plan.starts().size() <= s.mostStarts());
