A job that names a withdrawn one is accepted and withdrawn in one; tests with pipelines and both versions

Its final record is now what is accepted.

Controllers of the version in production, compiled from the repository's own history, serve beside new ones, with leadership going both ways.

--- a/src/main/java/fennelthread/api/Api.java
+++ b/src/main/java/fennelthread/api/Api.java
@@ -183,8 +183,8 @@
     store.checkNeeds(
         job.spec(),
         needs -> {
-          if (needs instanceof JobStore.Needs.Good) {
-            accept(job, reply);
+          if (needs instanceof JobStore.Needs.Good good) {
+            accept(good.withdrawn() ? store.withdrawn(job) : job, reply);
           } else if (needs instanceof JobStore.Needs.Bad bad) {
             refuse(id, Answer.error(422, JobSpec.NEEDS + ": " + bad.why()), reply);
           } else {
@@ -213,7 +213,10 @@
                         Codec.CBOR,
                         Fields.create()
                             .with("name_id", id)
-                            .with("estado", JobState.PENDING.wire())));
+                            .with(
+                                "estado",
+                                (job.end() == null ? JobState.PENDING : job.end().state())
+                                    .wire())));
             case KNOWN -> store.lookup(id, found -> reply.accept(known(id, found)));
             case UNAVAILABLE -> reply.accept(later("the state service can't be reached"));
             case TOO_LARGE -> reply.accept(Answer.error(400, "body: is too large"));
--- a/src/main/java/fennelthread/jobs/JobStore.java
+++ b/src/main/java/fennelthread/jobs/JobStore.java
@@ -44,8 +44,8 @@
 
   /** What is known of the jobs that a submission names. */
   public sealed interface Needs {
-    /** All were accepted, and none is a service. */
-    record Good() implements Needs {}
+    /** All were accepted, and none is a service; {@code withdrawn} if one of them is. */
+    record Good(boolean withdrawn) implements Needs {}
 
     /** One was never accepted, or is a service. */
     record Bad(String why) implements Needs {}
@@ -54,8 +54,11 @@
     record Unavailable() implements Needs {}
   }
 
-  /** A checked submission with the records that will be written for it. */
-  public record Prepared(JobSpec spec, Map<String, Fields> records) {
+  /**
+   * A checked submission with the records that will be written for it; {@code end} is not null if it
+   * is over as soon as it is accepted.
+   */
+  public record Prepared(JobSpec spec, Map<String, Fields> records, Lookup.Final end) {
     int bytes() {
       int bytes = 0;
       for (Fields record : records.values()) {
@@ -128,7 +131,16 @@
    * @throws WireException naming the field that is too large for the state service
    */
   public Prepared prepare(JobSpec spec) throws WireException {
-    return new Prepared(spec, Job.write(spec, host.wallMs(), limits));
+    return new Prepared(spec, Job.write(spec, host.wallMs(), limits), null);
+  }
+
+  /**
+   * The same job, accepted and withdrawn in one: it names a withdrawn one. Accepted as pending first,
+   * it would be called so long after its user was told of the withdrawal.
+   */
+  public Prepared withdrawn(Prepared job) {
+    Lookup.Final end = new Lookup.Final(JobState.WITHDRAWN, 0, host.wallMs());
+    return new Prepared(job.spec, Map.of(Keys.finalJob(job.spec.id()), end.write()), end);
   }
 
   /** True if this controller knows without asking that the job was accepted. */
@@ -144,28 +156,36 @@
    */
   public void checkNeeds(JobSpec spec, Consumer<Needs> done) {
     List<String> toRead = new ArrayList<>();
+    boolean withdrawn = false;
     for (String need : spec.needs()) {
       Job job = table.get(need);
       if (job != null && job.spec().service()) {
         done.accept(new Needs.Bad("names the service " + need));
         return;
       }
-      if (job == null && finals.getIfPresent(need) == null) {
+      Lookup.Final end = finals.getIfPresent(need);
+      if (job == null && end == null) {
         toRead.add(need);
       }
+      withdrawn |= isWithdrawn(need, end);
     }
     if (toRead.isEmpty()) {
-      done.accept(new Needs.Good());
+      done.accept(new Needs.Good(withdrawn));
     } else if (!state.answersSoon(0)) {
       done.accept(new Needs.Unavailable());
     } else {
-      readNeeds(toRead, 0, done);
+      readNeeds(toRead, 0, withdrawn, done);
     }
   }
 
-  private void readNeeds(List<String> needs, int at, Consumer<Needs> done) {
+  private boolean isWithdrawn(String id, Lookup found) {
+    return waits.graph().isDoomed(id)
+        || (found instanceof Lookup.Final end && end.state() == JobState.WITHDRAWN);
+  }
+
+  private void readNeeds(List<String> needs, int at, boolean withdrawn, Consumer<Needs> done) {
     if (at == needs.size()) {
-      done.accept(new Needs.Good());
+      done.accept(new Needs.Good(withdrawn));
       return;
     }
     String need = needs.get(at);
@@ -179,7 +199,7 @@
           } else if (found instanceof Lookup.Live live && live.job().spec().service()) {
             done.accept(new Needs.Bad("names the service " + need));
           } else {
-            readNeeds(needs, at + 1, done);
+            readNeeds(needs, at + 1, withdrawn || isWithdrawn(need, found), done);
           }
         });
   }
@@ -239,7 +259,9 @@
           accepting--;
           batch.forEach(p -> underWay.remove(p.id()));
           if (result instanceof TxnResult.Applied applied) {
-            replica.applied(txn, applied.revision());
+            Map<String, Lookup.Final> ends = new HashMap<>();
+            batch.forEach(p -> ends.compute(p.id(), (id, none) -> p.job.end));
+            madeFinal(txn, applied.revision(), ends);
             batch.forEach(p -> tell(p, Accepted.NEW));
           } else if (result instanceof TxnResult.Conflict conflict) {
             Set<String> failed = new HashSet<>(conflict.failed());
--- /dev/null
+++ b/src/test/java/fennelthread/sim/Production.java
@@ -0,0 +1,223 @@
+package fennelthread.sim;
+
+import fennelthread.net.Host;
+import fennelthread.net.Service;
+import fennelthread.settings.Settings;
+import java.io.ByteArrayInputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.StringWriter;
+import java.io.UncheckedIOException;
+import java.net.MalformedURLException;
+import java.net.URL;
+import java.net.URLClassLoader;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import java.util.zip.ZipEntry;
+import java.util.zip.ZipInputStream;
+import javax.tools.JavaCompiler;
+import javax.tools.ToolProvider;
+
+/**
+ * The version in production, as {@code deploy/service.toml} names it: its sources come from the
+ * repository's own history, are compiled once a run and loaded by a loader of their own, so that
+ * controllers of both versions serve in one simulated world. What the simulation itself speaks, the
+ * host below a controller and its messages, is shared; all else is the old version's.
+ */
+final class Production {
+  private static final List<String> SHARED =
+      List.of(
+          "fennelthread.net.",
+          "fennelthread.wire.Codec",
+          "fennelthread.wire.Fields",
+          "fennelthread.wire.WireException");
+
+  private static final Loader LOADER = load();
+
+  private Production() {}
+
+  /** A controller of the old version; {@code limits} are those that it knows of. */
+  static Cluster.Node controller(Host host, Settings settings, Settings.State limits) {
+    try {
+      Path file = Files.createTempFile("production", ".toml");
+      try {
+        Files.writeString(file, toml(settings, limits));
+        Class<?> settingsClass = LOADER.loadClass("fennelthread.settings.Settings");
+        Class<?> optionsClass = LOADER.loadClass("fennelthread.settings.Options");
+        Class<?> type = LOADER.loadClass("fennelthread.Controller");
+        Object controller =
+            type.getConstructor(Host.class, settingsClass, optionsClass)
+                .newInstance(
+                    host,
+                    settingsClass.getMethod("load", Path.class).invoke(null, file),
+                    optionsClass.getField("DEFAULTS").get(null));
+        return node(type, controller);
+      } finally {
+        Files.delete(file);
+      }
+    } catch (ReflectiveOperationException e) {
+      throw new IllegalStateException("the version in production can't be started", e);
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
+  private static Cluster.Node node(Class<?> type, Object controller) {
+    return new Cluster.Node() {
+      @Override
+      public Service api() {
+        return (Service) call("api");
+      }
+
+      @Override
+      public Service mesh() {
+        return (Service) call("mesh");
+      }
+
+      @Override
+      public void start() {
+        call("start");
+      }
+
+      @Override
+      public boolean isLeading() {
+        return (Boolean) call("isLeading");
+      }
+
+      private Object call(String method) {
+        try {
+          return type.getMethod(method).invoke(controller);
+        } catch (ReflectiveOperationException e) {
+          throw new IllegalStateException("the version in production has no " + method, e);
+        }
+      }
+    };
+  }
+
+  private static String toml(Settings s, Settings.State limits) {
+    StringBuilder t = new StringBuilder();
+    t.append("member = \"").append(s.member()).append("\"\n");
+    t.append("site = \"").append(s.site()).append("\"\n");
+    t.append("api_addr = \"").append(s.apiAddr()).append("\"\n");
+    t.append("mesh_addr = \"").append(s.meshAddr()).append("\"\n");
+    for (Settings.Sibling sibling : s.siblings()) {
+      t.append("[[siblings]]\nmember = \"").append(sibling.member());
+      t.append("\"\naddr = \"").append(sibling.addr()).append("\"\n");
+    }
+    t.append("[endpoints]\ncloud = \"").append(s.cloudAddr());
+    t.append("\"\nstate = \"").append(s.stateAddr()).append("\"\n");
+    t.append("[cluster]\nzones = [\"").append(String.join("\", \"", s.zones())).append("\"]\n");
+    for (Settings.Team team : s.teams().values()) {
+      t.append("[[cluster.teams]]\nname = \"").append(team.name());
+      t.append("\"\ncpus = ").append(team.cpus()).append("\ncpus_max = ").append(team.cpusMax());
+      t.append("\ngpus = ").append(team.cards()).append("\ngpus_max = ").append(team.cardsMax());
+      t.append('\n');
+    }
+    for (Settings.Objective o : s.objectives()) {
+      t.append("[[cluster.objectives]]\nkind = \"").append(o.kind());
+      t.append("\"\nclass = \"").append(o.jobClass());
+      t.append("\"\nwithin_s = ").append(o.withinS()).append("\nshare = ").append(o.share());
+      t.append('\n');
+    }
+    t.append("[cluster.workers]\nreport_s = ").append(s.workers().reportMs() / 1000.0);
+    t.append("\nlease_s = ").append(s.workers().leaseMs() / 1000.0);
+    t.append("\ncancel_s = ").append(s.workers().cancelMs() / 1000.0).append('\n');
+    t.append("[cluster.state]\nrps = ").append(limits.rps());
+    t.append("\nwrite_rps = ").append(limits.writeRps());
+    t.append("\nvalue_kb = ").append(limits.valueBytes() / 1024.0);
+    t.append("\ntxn_ops = ").append(limits.txnOps()).append('\n');
+    t.append("[cluster.cloud]\nrps = ").append(s.cloud().rps());
+    t.append("\nlist_lag_s = ").append(s.cloud().listLagMs() / 1000.0).append('\n');
+    t.append("[cluster.machine_limits]\nmax_connections = ").append(s.maxConnections()).append('\n');
+    return t.toString();
+  }
+
+  /** Looks into the old version first, but for what both share. */
+  private static final class Loader extends URLClassLoader {
+    Loader(URL classes) {
+      super(new URL[] {classes}, Production.class.getClassLoader());
+    }
+
+    @Override
+    protected Class<?> loadClass(String name, boolean resolve) throws ClassNotFoundException {
+      if (!name.startsWith("fennelthread.") || SHARED.stream().anyMatch(name::startsWith)) {
+        return super.loadClass(name, resolve);
+      }
+      synchronized (getClassLoadingLock(name)) {
+        Class<?> known = findLoadedClass(name);
+        return known == null ? findClass(name) : known;
+      }
+    }
+  }
+
+  private static Loader load() {
+    try {
+      String toml = Files.readString(Path.of("deploy", "service.toml"));
+      Matcher m = Pattern.compile("(?m)^production = \"([0-9a-f]{40})\"$").matcher(toml);
+      if (!m.find()) {
+        throw new IllegalStateException("deploy/service.toml names no production");
+      }
+      Path sources = Files.createDirectories(Path.of("target", "production", m.group(1), "sources"));
+      Path classes = Files.createDirectories(sources.resolveSibling("classes"));
+      List<String> files = new ArrayList<>();
+      try (ZipInputStream zip = new ZipInputStream(new ByteArrayInputStream(archive(m.group(1))))) {
+        for (ZipEntry e = zip.getNextEntry(); e != null; e = zip.getNextEntry()) {
+          if (e.getName().endsWith(".java")) {
+            Path file = sources.resolve(e.getName());
+            Files.createDirectories(file.getParent());
+            Files.write(file, zip.readAllBytes());
+            files.add(file.toString());
+          }
+        }
+      }
+      compile(files, classes);
+      return new Loader(classes.toUri().toURL());
+    } catch (MalformedURLException e) {
+      throw new IllegalStateException(e);
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
+  private static byte[] archive(String commit) throws IOException {
+    Process git =
+        new ProcessBuilder("git", "archive", "--format=zip", commit, "src/main/java")
+            .redirectError(ProcessBuilder.Redirect.INHERIT)
+            .start();
+    try (InputStream out = git.getInputStream()) {
+      byte[] zip = out.readAllBytes();
+      if (git.waitFor() != 0) {
+        throw new IllegalStateException("git has no " + commit + ": the whole history is needed");
+      }
+      return zip;
+    } catch (InterruptedException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  private static void compile(List<String> files, Path classes) {
+    JavaCompiler compiler = ToolProvider.getSystemJavaCompiler();
+    StringWriter errors = new StringWriter();
+    List<String> options =
+        List.of(
+            "-proc:none", "-nowarn", "-d", classes.toString(), "-cp",
+            System.getProperty("java.class.path"), "-encoding", StandardCharsets.UTF_8.name());
+    try (var manager = compiler.getStandardFileManager(null, null, StandardCharsets.UTF_8)) {
+      boolean good =
+          compiler
+              .getTask(
+                  errors, manager, null, options, null, manager.getJavaFileObjectsFromStrings(files))
+              .call();
+      if (!good) {
+        throw new IllegalStateException("production does not compile: " + errors);
+      }
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+}
--- a/src/test/java/fennelthread/sim/SimulationTest.java
+++ b/src/test/java/fennelthread/sim/SimulationTest.java
@@ -37,6 +37,11 @@
   void storm(long seed) {
     Cluster c = new Cluster(seed);
     c.storm(300_000);
+    settle(c);
+  }
+
+  /** The end of a storm: the network is fine again, and all that may end does. */
+  static void settle(Cluster c) {
     c.world.runUntil(300_000);
     c.world.loss = 0;
     c.world.late = 0;
