Tests of the graph of needs, of every record's form and size, of limits to come and greetings

Golden records of each stored form; the largest of each at lower limits and at the least that settings allow; the graph against a plain model.

--- /dev/null
+++ b/src/test/java/fennelthread/jobs/NeedGraphTest.java
@@ -0,0 +1,224 @@
+package fennelthread.jobs;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import fennelthread.wire.JobSpec;
+import fennelthread.wire.JobState;
+import fennelthread.wire.Priority;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** The graph of needs alone, against a plain model that goes through all jobs at each question. */
+class NeedGraphTest {
+  private final Map<String, Job> live = new LinkedHashMap<>();
+  private final Map<String, Lookup.Final> finals = new HashMap<>();
+  private final Map<String, Lookup.Final> known = new HashMap<>();
+  private int told;
+  private final NeedGraph graph =
+      new NeedGraph(
+          spec -> spec.deadlineS() * 1.5,
+          new NeedGraph.Listener() {
+            @Override
+            public void moved(Job job, NeedGraph.Phase to) {
+              told++;
+            }
+
+            @Override
+            public void lent(String id) {
+              told++;
+            }
+          });
+
+  private Job job(int number, Priority priority, double deadlineS, List<String> needs) {
+    return new Job(
+        new JobSpec(
+            "job-" + number, "lote", "roja", false, priority, 1, 1, 0, 1, "img", 1, null, null,
+            false, false, true, 10, 0, 0, deadlineS, needs),
+        number,
+        1_000L * number);
+  }
+
+  private void accept(Job job) {
+    live.put(job.spec().id(), job);
+    graph.add(job, live::containsKey, known::get);
+  }
+
+  private void end(String id, JobState state) {
+    live.remove(id);
+    finals.put(id, new Lookup.Final(state, 1, 5_000_000 + id.hashCode() % 1_000));
+    graph.remove(id);
+  }
+
+  /** What a read of the state service brings. */
+  private void read(String id) {
+    known.put(id, finals.get(id));
+    graph.learn(id, finals.get(id));
+  }
+
+  @Test
+  void releasedByProofAlone() {
+    Job first = job(1, Priority.STANDARD, -1, List.of());
+    Job second = job(2, Priority.STANDARD, -1, List.of("job-1"));
+    accept(first);
+    accept(second);
+    assertTrue(graph.isReleased(first));
+    assertFalse(graph.isReleased(second));
+    end("job-1", JobState.DONE);
+    assertFalse(graph.isReleased(second), "that it is no longer live proves nothing");
+    assertEquals(Set.of("job-1"), Set.copyOf(graph.unknown()));
+    read("job-1");
+    assertTrue(graph.isReleased(second));
+    assertEquals(finals.get("job-1").endedWallMs(), graph.releasedMs(second));
+    assertTrue(graph.unknown().isEmpty());
+  }
+
+  /** Production's final records do not say when: then the job was released when it was accepted. */
+  @Test
+  void anEndWithoutTime() {
+    known.put("job-1", new Lookup.Final(JobState.DONE, 1, 0));
+    Job second = job(2, Priority.STANDARD, -1, List.of("job-1"));
+    accept(second);
+    assertTrue(graph.isReleased(second));
+    assertEquals(2_000, graph.releasedMs(second));
+  }
+
+  @Test
+  void priorityAndDeadlineComeFromTheLastJob() {
+    accept(job(1, Priority.BEST_EFFORT, -1, List.of()));
+    accept(job(2, Priority.BEST_EFFORT, -1, List.of("job-1")));
+    assertEquals(Priority.BEST_EFFORT, graph.loan("job-1").priority());
+    accept(job(3, Priority.URGENT, 100, List.of("job-2")));
+    // Due at 103 s, less 10 s for the last and 10 s for the one in the middle; 1.5 times as late.
+    assertEquals(new NeedGraph.Loan(Priority.URGENT, 93_000, 143_000), graph.loan("job-2"));
+    assertEquals(new NeedGraph.Loan(Priority.URGENT, 83_000, 133_000), graph.loan("job-1"));
+    end("job-3", JobState.WITHDRAWN);
+    assertEquals(Priority.BEST_EFFORT, graph.loan("job-1").priority());
+    end("job-2", JobState.WITHDRAWN);
+    assertNull(graph.loan("job-1"), "a withdrawn job lends nothing");
+  }
+
+  /** Random graphs, in any order of news: the same as the model says at each step. */
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3, 4, 5, 6})
+  void random(long seed) {
+    SplittableRandom r = new SplittableRandom(seed);
+    List<String> ids = new ArrayList<>();
+    Map<String, Job> all = new HashMap<>();
+    for (int step = 0; step < 1_500; step++) {
+      int what = r.nextInt(10);
+      if (what < 3 || ids.size() < 3) {
+        Set<String> needs = new HashSet<>();
+        for (int i = r.nextInt(4); i > 0 && !ids.isEmpty(); i--) {
+          needs.add(ids.get(Math.max(0, ids.size() - 1 - r.nextInt(12))));
+        }
+        Job job =
+            job(
+                step + 1,
+                Priority.values()[r.nextInt(4)],
+                r.nextBoolean() ? -1 : 50 + r.nextInt(100),
+                List.copyOf(needs));
+        ids.add(job.spec().id());
+        all.put(job.spec().id(), job);
+        accept(job);
+      } else if (what < 6 && !live.isEmpty()) {
+        List<Job> free = live.values().stream().filter(graph::isReleased).toList();
+        boolean done = r.nextInt(5) > 0 && !free.isEmpty();
+        List<Job> from = done ? free : List.copyOf(live.values());
+        end(
+            from.get(r.nextInt(from.size())).spec().id(),
+            done ? JobState.DONE : JobState.WITHDRAWN);
+      } else if (!graph.unknown().isEmpty()) {
+        read(List.copyOf(graph.unknown()).get(r.nextInt(graph.unknown().size())));
+      }
+      for (Job job : live.values()) {
+        check(job, all);
+      }
+    }
+  }
+
+  private void check(Job job, Map<String, Job> all) {
+    String id = job.spec().id();
+    boolean met = true;
+    for (String need : job.spec().needs()) {
+      Lookup.Final end = known.get(need);
+      met &= end != null && end.state() == JobState.DONE;
+      assertEquals(
+          !live.containsKey(need) && end == null, graph.unknown().contains(need), need);
+    }
+    assertEquals(met, graph.isReleased(job), id);
+    if (doomed(id, all, false)) {
+      assertTrue(graph.isDoomed(id), id);
+    }
+    if (graph.isDoomed(id)) {
+      assertTrue(doomed(id, all, true), id);
+    }
+    NeedGraph.Loan loan = graph.loan(id);
+    assertEquals(urgency(id, all), loan == null ? 4 : loan.priority().ordinal(), id);
+  }
+
+  /** By what is live or known now; or, with {@code ever}, also by way of jobs that are over. */
+  private boolean doomed(String id, Map<String, Job> all, boolean ever) {
+    return all.get(id).spec().needs().stream()
+        .anyMatch(
+            need ->
+                known.containsKey(need)
+                    ? known.get(need).state() == JobState.WITHDRAWN
+                    : (ever || live.containsKey(need)) && doomed(need, all, ever));
+  }
+
+  private int urgency(String id, Map<String, Job> all) {
+    int most = 4;
+    for (Job other : live.values()) {
+      if (other.spec().needs().contains(id) && !graph.isDoomed(other.spec().id())) {
+        most = Math.min(most, other.spec().priority().ordinal());
+        most = Math.min(most, urgency(other.spec().id(), all));
+      }
+    }
+    return most;
+  }
+
+  /** A chain of a thousand: each step tells of no more than the chain is long, and none recurses. */
+  @Test
+  void longChain() {
+    accept(job(0, Priority.BEST_EFFORT, -1, List.of()));
+    for (int i = 1; i < 1_000; i++) {
+      accept(job(i, Priority.BEST_EFFORT, -1, List.of("job-" + (i - 1))));
+    }
+    assertEquals(1_000 - 1, told, "one loan a job");
+    accept(job(1_000, Priority.URGENT, 60, List.of("job-999")));
+    assertEquals(2 * 1_000 - 1, told);
+    assertEquals(Priority.URGENT, graph.loan("job-0").priority());
+    told = 0;
+    end("job-0", JobState.WITHDRAWN);
+    read("job-0");
+    assertEquals(1_000, graph.doomed().size());
+    assertTrue(told <= 3_000, told + " changes");
+  }
+
+  /** One job that a thousand need. */
+  @Test
+  void neededByMany() {
+    accept(job(0, Priority.BEST_EFFORT, -1, List.of()));
+    for (int i = 1; i <= 1_000; i++) {
+      accept(job(i, Priority.STANDARD, -1, List.of("job-0")));
+    }
+    assertEquals(1, told, "the same loan a thousand times");
+    end("job-0", JobState.DONE);
+    told = 0;
+    read("job-0");
+    assertEquals(1_000, told);
+    assertTrue(live.values().stream().allMatch(graph::isReleased));
+  }
+}
--- /dev/null
+++ b/src/test/java/fennelthread/jobs/RecordsTest.java
@@ -0,0 +1,193 @@
+package fennelthread.jobs;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import fennelthread.settings.Settings;
+import fennelthread.state.Keys;
+import fennelthread.state.Limits;
+import fennelthread.wire.Codec;
+import fennelthread.wire.Fields;
+import fennelthread.wire.JobSpec;
+import fennelthread.wire.JobState;
+import fennelthread.wire.Priority;
+import fennelthread.wire.TaskRef;
+import fennelthread.wire.WireException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/**
+ * The records in the state service. Other versions read them: a form that changes breaks these
+ * tests, and then needs a way for both versions to live with it.
+ */
+class RecordsTest {
+  private static final Limits WIDE = limits(16 * 1024, 12);
+  private static final String JOB =
+      "{\"name_id\":\"job-000412\",\"clase\":\"lote\",\"dueno\":\"roja\",\"tipo\":\"sweep\","
+          + "\"prioridad\":\"urgent\",\"tareas\":3,\"cpus\":1.5,\"cards\":0.0,\"mem_gb\":2.0,"
+          + "\"imagen\":\"img\",\"pull_gb\":1.0,\"modelos\":[\"mesa\"],\"zona\":null,"
+          + "\"same_place\":false,\"apart\":true,\"prestadas\":true,\"estimado_s\":9.0,"
+          + "\"resguardo_s\":0.0,\"guardado_s\":0.0,\"plazo_s\":60.0,\"at_ms\":1234";
+
+  private static Limits limits(int valueBytes, int ops) {
+    return new Limits(new Settings.State(100, 50, valueBytes, ops));
+  }
+
+  private static JobSpec spec(String id, String team, List<String> needs) {
+    return new JobSpec(
+        id, "lote", team, false, Priority.URGENT, 3, 1.5, 0, 2, "img", 1, List.of("mesa"), null,
+        false, true, true, 9, 0, 0, 60, needs);
+  }
+
+  private static String json(Fields value) {
+    return new String(Codec.JSON.encode(value), StandardCharsets.UTF_8);
+  }
+
+  private static Fields parsed(String json) throws WireException {
+    return Codec.JSON.decode(json.getBytes(StandardCharsets.UTF_8));
+  }
+
+  @Test
+  void liveJob() throws WireException {
+    JobSpec plain = spec("job-000412", "roja", List.of());
+    Map<String, Fields> records = Job.write(plain, 1_234, WIDE);
+    assertEquals(List.of("live/job/job-000412"), List.copyOf(records.keySet()));
+    assertEquals(JOB + "}", json(records.get(Keys.job("job-000412"))));
+    assertEquals(plain, Job.read(parsed(JOB + ",\"mas\":1}"), 5).spec());
+
+    JobSpec chained = spec("job-000412", "roja", List.of("job-1", "job-2"));
+    Fields record = Job.write(chained, 1_234, WIDE).get(Keys.job("job-000412"));
+    assertEquals(JOB + ",\"espera\":[\"job-1\",\"job-2\"]}", json(record));
+    assertEquals(chained, Job.read(record, 5).spec());
+  }
+
+  @Test
+  void finalJob() throws WireException {
+    Lookup.Final end = new Lookup.Final(JobState.DONE, 3, 77);
+    assertEquals("{\"estado\":\"done\",\"done\":3,\"at_ms\":77}", json(end.write()));
+    assertEquals(end, Lookup.Final.read(end.write()));
+    assertEquals(
+        new Lookup.Final(JobState.WITHDRAWN, 2, 0),
+        Lookup.Final.read(parsed("{\"estado\":\"withdrawn\",\"done\":2}")),
+        "as production writes it");
+  }
+
+  @Test
+  void finishedTasks() {
+    BitSet finished = new BitSet();
+    finished.set(256, 259);
+    finished.set(300);
+    BitSet covered = new BitSet();
+    assertEquals("{\"r\":[0,2,44,44]}", json(Job.writeChunk(1, finished, 1_000, covered)));
+    assertEquals(finished, covered);
+  }
+
+  @Test
+  void roundRecord() throws WireException {
+    RoundRecord record =
+        new RoundRecord(
+            List.of(
+                new RoundRecord.Start(
+                    new TaskRef("job-1", 0), 9, "n-1", 2, "roja", 1.5, 0.0, 2.0),
+                new RoundRecord.Start(
+                    new TaskRef("job-1", 1), 10, "n-2", 1, "roja", 1.5, 0.0, 2.0)));
+    assertEquals(
+        "{\"j\":[[\"job-1\",\"roja\",1.5,0.0,2.0,0,9,\"n-1\",2,1,10,\"n-2\",1]]}",
+        json(record.write()));
+    assertEquals(record, RoundRecord.read(record.write()));
+  }
+
+  /** The largest of each record at lower limits, and at the least that settings allow. */
+  @ParameterizedTest
+  @CsvSource({"2048,4", "2048,5", "1024,2", "16384,12"})
+  void nothingIsLargerThanTheLimits(int valueBytes, int ops) throws WireException {
+    Limits limits = limits(valueBytes, ops);
+    SplittableRandom r = new SplittableRandom(valueBytes + ops);
+    int largest = 0;
+    for (int n = 0; n < 600; n += 7) {
+      Set<String> unlike = new LinkedHashSet<>();
+      for (int i = 0; i < n; i++) {
+        unlike.add("job-" + i + "1".repeat(r.nextInt(28)));
+      }
+      List<String> needs = List.copyOf(unlike);
+      JobSpec spec = spec("job-" + "9".repeat(32), "t".repeat(1 + n % 100), needs);
+      Map<String, Fields> records;
+      try {
+        records = Job.write(spec, Long.MAX_VALUE, limits);
+      } catch (WireException e) {
+        assertTrue(e.getMessage().startsWith("espera") && n > 0, e.getMessage());
+        continue;
+      }
+      largest = n;
+      assertTrue(records.size() <= ops);
+      List<String> read = new ArrayList<>();
+      for (Map.Entry<String, Fields> e : records.entrySet()) {
+        assertTrue(json(e.getValue()).length() <= valueBytes, e.getKey());
+        if (e.getKey().startsWith(Keys.NEEDS)) {
+          read.addAll(e.getValue().optTexts("espera"));
+        } else {
+          assertEquals(records.size() - 1, Job.parts(e.getValue()));
+          read.addAll(0, Job.read(e.getValue(), 1).spec().needs());
+        }
+      }
+      assertEquals(needs, read);
+    }
+    assertTrue(largest >= Math.min(590, valueBytes * (ops - 1) / 60), "only " + largest + " needs");
+    assertThrows(
+        WireException.class,
+        () -> Job.write(spec("job-1", "t".repeat(valueBytes), List.of()), 1, limits));
+
+    for (int tries = 0; tries < 200; tries++) {
+      rounds(r, limits, valueBytes, ops);
+      BitSet finished = new BitSet();
+      for (int i = 0; i < 256; i++) {
+        finished.set(i, tries == 0 ? i % 2 == 0 : r.nextBoolean());
+      }
+      BitSet covered = new BitSet();
+      Fields chunk = Job.writeChunk(0, finished, limits.valueBytes(), covered);
+      assertTrue(json(chunk).length() <= valueBytes);
+      Job job = new Job(spec("job-1", "roja", List.of()), 1, 1);
+      job.readChunk(0, chunk);
+      assertEquals(covered, job.finished());
+      covered.andNot(finished);
+      assertTrue(covered.isEmpty());
+    }
+  }
+
+  private static void rounds(SplittableRandom r, Limits limits, int valueBytes, int ops)
+      throws WireException {
+    RoundRecord.Packer packer = new RoundRecord.Packer(limits.valueBytes(), ops);
+    List<RoundRecord.Start> starts = new ArrayList<>();
+    for (int i = 0; i < 400; i++) {
+      int length = 1 + r.nextInt(32);
+      JobSpec spec = spec("job-" + "7".repeat(length), "é".repeat(length), List.of());
+      String machine = "n-" + "0".repeat(r.nextInt(20));
+      long session = r.nextLong(Long.MAX_VALUE);
+      if (packer.makeRoom(spec, i * 1_000, machine, session)) {
+        RoundRecord.Start start =
+            RoundRecord.Start.of(spec, i * 1_000, Long.MAX_VALUE, machine, session);
+        packer.add(start);
+        starts.add(start);
+      }
+    }
+    assertTrue(packer.records().size() <= ops);
+    List<RoundRecord.Start> read = new ArrayList<>();
+    for (RoundRecord record : packer.records()) {
+      Fields value = record.write();
+      assertTrue(Codec.JSON.encode(value).length <= valueBytes);
+      read.addAll(RoundRecord.read(value).starts());
+    }
+    assertEquals(starts.size(), read.size());
+    assertTrue(read.containsAll(starts));
+  }
+}
--- a/src/test/java/fennelthread/settings/SettingsTest.java
+++ b/src/test/java/fennelthread/settings/SettingsTest.java
@@ -68,6 +68,27 @@
     assertTrue(s.waitsMatter("servicio"));
   }
 
+  /** Limits that are to come hold from the start where they are lower: they come without notice. */
+  @Test
+  void theLowerOfTheLimitsNowAndToCome() throws Exception {
+    String next = "[cluster.state.next]\nvalue_kb = 2.0\ntxn_ops = 16\nnew_limit = 1\n";
+    Settings s = load(GOOD.replace("[cluster.cloud]", next + "[cluster.cloud]"));
+    assertEquals(new Settings.State(100, 50, 2 * 1024, 8), s.state());
+    assertEquals(new Settings.State(100, 50, 8 * 1024, 8), load(GOOD).state());
+  }
+
+  @ParameterizedTest
+  @CsvSource(
+      delimiter = '|',
+      value = {
+        "txn_ops = 8|txn_ops = 8\\n[cluster.state.next]\\ntxn_ops = 1|cluster.state.next.txn_ops",
+        "txn_ops = 8|txn_ops = 8\\n[cluster.state.next]\\nvalue_kb = \"big\"|cluster.state.next.value_kb",
+        "txn_ops = 8|txn_ops = 8\\nnext = 3|cluster.state.next",
+      })
+  void impossibleLimitsToComeAreNamed(String part, String wrong, String field) {
+    theFieldAtFaultIsNamedInOneLine(part, wrong.replace("\\n", "\n"), field);
+  }
+
   @ParameterizedTest
   @CsvSource(
       delimiter = '|',
