Room that is made piece by piece is not given to smaller tasks of less urgent work

Ruled out: stale priorities of running work, records too small for a round.

A machine's room now counts as taken as far as it is reserved for what is coming. The test fails without it.

--- a/src/main/java/fennelthread/plan/Planner.java
+++ b/src/main/java/fennelthread/plan/Planner.java
@@ -70,10 +70,15 @@
       this.memGb = host.memGb();
     }
 
+    /**
+     * True if a task fits now, and still does when what is reserved is taken: of room that is made
+     * piece by piece, the first piece must not go to a smaller task of less urgent work, which would
+     * be stopped for the same task again, over and over.
+     */
     boolean fits(JobSpec spec) {
-      return spec.cpus() <= cpus + EPSILON
-          && spec.cards() <= cards + EPSILON
-          && spec.memGb() <= memGb + EPSILON;
+      return spec.cpus() <= cpus + Math.min(0, comingCpus) + EPSILON
+          && spec.cards() <= cards + Math.min(0, comingCards) + EPSILON
+          && spec.memGb() <= memGb + Math.min(0, comingMemGb) + EPSILON;
     }
 
     boolean willFit(JobSpec spec) {
--- a/src/test/java/fennelthread/plan/PlainPlanner.java
+++ b/src/test/java/fennelthread/plan/PlainPlanner.java
@@ -47,9 +47,9 @@
     }
 
     boolean fits(JobSpec spec) {
-      return spec.cpus() <= cpus + EPSILON
-          && spec.cards() <= cards + EPSILON
-          && spec.memGb() <= memGb + EPSILON;
+      return spec.cpus() <= Math.min(cpus, cpus + comingCpus) + EPSILON
+          && spec.cards() <= Math.min(cards, cards + comingCards) + EPSILON
+          && spec.memGb() <= Math.min(memGb, memGb + comingMemGb) + EPSILON;
     }
 
     boolean willFit(JobSpec spec) {
--- a/src/test/java/fennelthread/plan/PlannerTest.java
+++ b/src/test/java/fennelthread/plan/PlannerTest.java
@@ -88,6 +88,50 @@
     assertTrue(plan.starts().isEmpty());
   }
 
+  /**
+   * Room that is made piece by piece for a large task must not go to a smaller one of less urgent
+   * work: that one was stopped for the large task again, a thousand times a minute.
+   */
+  @Test
+  void roomBeingMadeIsNotGivenAway() {
+    Snapshot.Running leaving =
+        new Snapshot.Running(
+            job("job-8", "azul", Priority.BEST_EFFORT, 1, 2), Priority.BEST_EFFORT, 0, 1, "a",
+            true, 2, 0, 1, NOW_MS);
+    List<Snapshot.Need> needs =
+        List.of(
+            need(job("job-1", "roja", Priority.STANDARD, 1, 4), false, 1),
+            need(job("job-2", "azul", Priority.BEST_EFFORT, 1, 2), false, 1));
+    Plan plan =
+        Planner.plan(
+            new Snapshot(
+                List.of(host("a", 4, 2, null, leaving)), needs, Set.of(), teams(0), NOW_MS, 10));
+    assertTrue(plan.starts().isEmpty(), plan.starts().toString());
+    assertTrue(plan.stops().isEmpty());
+  }
+
+  /** Work that an urgent job needs is as urgent: it makes room, and is not stopped for less. */
+  @Test
+  void priorityOfThoseThatNeedIt() {
+    JobSpec need = job("job-1", "roja", Priority.BEST_EFFORT, 1, 4);
+    Snapshot.Running other = running("job-9", "azul", Priority.STANDARD, 1);
+    Snapshot.Need lent =
+        new Snapshot.Need(
+            need, Priority.URGENT, List.of(0), Map.of(), false, false, false, 100, 1, 1);
+    List<Snapshot.Host> hosts = List.of(host("a", 4, 0, null, other));
+    assertEquals(List.of(other), Planner.plan(snapshot(hosts, lent, Set.of())).stops());
+    Snapshot.Running needed =
+        new Snapshot.Running(need, Priority.URGENT, 0, 1, "a", false, 4, 0, 1, NOW_MS);
+    assertTrue(
+        Planner.plan(
+                snapshot(
+                    List.of(host("a", 4, 0, null, needed)),
+                    need(job("job-2", "azul", Priority.STANDARD, 1, 4), true, 1),
+                    Set.of()))
+            .stops()
+            .isEmpty());
+  }
+
   /** A backlog once made every job late, each by what those before it took. */
   @Test
   void whatCanBeInTimeComesBeforeWhatIsLateAndSmallBeforeLarge() {
