--- a/src/main/java/fennelthread/Constants.java
+++ b/src/main/java/fennelthread/Constants.java
@@ -224,6 +224,13 @@
   /** A job late by this many times the last time set for it no longer stands back for others. */
   public static final double LATE_PATIENCE = 3;
 
+  /**
+   * Part of the time that a job could wait when it was released and still be done for those that
+   * need it, after which it stops other work in their name. Before that it only comes first where
+   * there is room: a pipeline's time is meant to be waited with, stopped work is lost.
+   */
+  public static final double LENT_PATIENCE = 0.5;
+
   /** How long demand is remembered when deciding what to rent, ms. */
   public static final long DEMAND_WINDOW_MS = 180_000;
 
--- a/src/main/java/fennelthread/lead/Term.java
+++ b/src/main/java/fennelthread/lead/Term.java
@@ -30,6 +30,7 @@
 import fennelthread.wire.JobSpec;
 import fennelthread.wire.JobState;
 import fennelthread.wire.Order;
+import fennelthread.wire.Priority;
 import fennelthread.wire.TaskRef;
 import java.util.ArrayList;
 import java.util.BitSet;
@@ -711,6 +712,7 @@
     return new Snapshot.Need(
         spec,
         run.priority(),
+        stopsAs(run, takes),
         tasks,
         spec.onePlace() || spec.apart() ? zonesOf(run) : Map.of(),
         slack >= 0 && guaranteed.contains(spec.id()),
@@ -721,6 +723,19 @@
         run.order());
   }
 
+  /** The priority with which a job may stop others: a lent one only once its time runs short. */
+  private Priority stopsAs(Run run, double takesS) {
+    NeedGraph.Loan loan = run.loan();
+    if (loan == null || loan.dueMs() == 0) {
+      return run.priority();
+    }
+    double latestMs = loan.dueMs() - takesS * 1000;
+    boolean patient =
+        latestMs - host.wallMs()
+            > (latestMs - run.releasedWallMs()) * (1 - Constants.LENT_PATIENCE);
+    return patient ? run.job().spec().priority() : run.priority();
+  }
+
   /**
    * What is left to the next of the times that the job's deadline, the objectives and the deadlines
    * of the jobs that need it set, or less than 0 if it is too late for all of them. A job that has
--- a/src/main/java/fennelthread/plan/Planner.java
+++ b/src/main/java/fennelthread/plan/Planner.java
@@ -244,7 +244,7 @@
       Claim claim =
           new Claim(
               shape,
-              need.priority(),
+              need.stopsAs(),
               need.withinGuarantee() ? spec.team() : null,
               cachedOnly ? spec.image() : null);
       if (!anyToStop(need) || (!zoned && hopeless.contains(claim))) {
@@ -485,7 +485,7 @@
 
   /** False if no running work anywhere comes later than the need. */
   private boolean anyToStop(Snapshot.Need need) {
-    int rank = need.priority().ordinal();
+    int rank = need.stopsAs().ordinal();
     for (int i = need.withinGuarantee() ? rank : rank + 1; i < stoppable.length; i++) {
       if (stoppable[i] > 0) {
         return true;
@@ -499,7 +499,7 @@
    * borrowed work of higher priority, which took the room back in the next round, over and over.
    */
   private boolean mayStop(Snapshot.Need need, Snapshot.Running r) {
-    int order = r.priority().compareTo(need.priority());
+    int order = r.priority().compareTo(need.stopsAs());
     if (order != 0) {
       return order > 0;
     }
--- a/src/main/java/fennelthread/plan/Snapshot.java
+++ b/src/main/java/fennelthread/plan/Snapshot.java
@@ -39,7 +39,8 @@
       List<Running> running) {}
 
   /**
-   * A job with tasks to place; {@code priority} is its own or that of a job that needs it. {@code zones} counts its tasks that may be present, by zone; only
+   * A job with tasks to place; {@code priority} is its own or that of a job that needs it, {@code
+   * stopsAs} the one with which it may stop other work, which is no more urgent. {@code zones} counts its tasks that may be present, by zone; only
    * jobs with a rule about zones need it. A {@code late} job can't meet any time set for it any
    * more; {@code slackS} is what is left to the next such time, {@code work} the CPU seconds that
    * its waiting tasks still take.
@@ -47,6 +48,7 @@
   public record Need(
       JobSpec spec,
       Priority priority,
+      Priority stopsAs,
       List<Integer> tasks,
       Map<String, Integer> zones,
       boolean withinGuarantee,
--- a/src/test/java/fennelthread/plan/PlainPlanner.java
+++ b/src/test/java/fennelthread/plan/PlainPlanner.java
@@ -309,7 +309,7 @@
    * borrowed work of higher priority, which took the room back in the next round, over and over.
    */
   private boolean mayStop(Snapshot.Need need, Snapshot.Running r) {
-    int order = r.priority().compareTo(need.priority());
+    int order = r.priority().compareTo(need.stopsAs());
     if (order != 0) {
       return order > 0;
     }
