--- a/src/main/java/fennelthread/cli/Submit.java
+++ b/src/main/java/fennelthread/cli/Submit.java
@@ -2,13 +2,18 @@
 
 import fennelthread.settings.SettingsException;
 import fennelthread.wire.Codec;
+import fennelthread.wire.Fields;
+import fennelthread.wire.JobSpec;
 import fennelthread.wire.WireException;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.Callable;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Mixin;
+import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
 
 /** Submits a job. */
@@ -23,11 +28,20 @@
   @Parameters(paramLabel = "JOB.json", description = "The job.")
   private Path file;
 
+  @Option(
+      names = "--after",
+      paramLabel = "ID",
+      description =
+          "A job that must be done before this one starts, beside those that the file names; "
+              + "may be repeated.")
+  private List<String> after = List.of();
+
   @Override
   public Integer call() throws Exception {
     byte[] body;
     try {
-      body = Codec.CBOR.encode(Codec.JSON.decode(Files.readAllBytes(file)));
+      Fields job = Codec.JSON.decode(Files.readAllBytes(file));
+      body = Codec.CBOR.encode(after.isEmpty() ? job : withNeeds(job, after));
     } catch (IOException e) {
       throw new SettingsException(file + ": can't be read: " + e.getMessage());
     } catch (WireException e) {
@@ -35,4 +49,12 @@
     }
     return client.send("POST", "/v1/jobs", body);
   }
+
+  /** Adds needs to those that the job names already; the controller checks them all. */
+  static Fields withNeeds(Fields job, List<String> after) throws WireException {
+    List<String> named = job.optTexts(JobSpec.NEEDS);
+    List<Object> needs = new ArrayList<>(named == null ? List.of() : named);
+    needs.addAll(after);
+    return job.with(JobSpec.NEEDS, needs);
+  }
 }
--- a/src/test/java/fennelthread/cli/MainTest.java
+++ b/src/test/java/fennelthread/cli/MainTest.java
@@ -3,11 +3,13 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import fennelthread.wire.Fields;
 import java.io.ByteArrayOutputStream;
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -27,6 +29,14 @@
     }
   }
 
+  @Test
+  void needsNamedOnTheCommandLineComeAfterThoseOfTheFile() throws Exception {
+    Fields job = Fields.create().with("espera", List.of("job-1"));
+    assertEquals(
+        List.of("job-1", "job-2", "job-3"),
+        Submit.withNeeds(job, List.of("job-2", "job-3")).optTexts("espera"));
+  }
+
   private static String refusal(String... args) {
     PrintStream before = System.err;
     ByteArrayOutputStream text = new ByteArrayOutputStream();
--- a/src/test/java/fennelthread/sim/ChainedJobsTest.java
+++ b/src/test/java/fennelthread/sim/ChainedJobsTest.java
@@ -15,7 +15,9 @@
 import fennelthread.wire.WireException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.LongConsumer;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.condition.EnabledIfSystemProperty;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -69,6 +71,23 @@
     assertEquals(0, c.state.refusedAsTooLarge, "transactions above the limits");
   }
 
+  /** More seeds of both than every build needs. */
+  @Test
+  @EnabledIfSystemProperty(named = "sim.from", matches = "[0-9]+")
+  void soak() {
+    StringBuilder broken = new StringBuilder();
+    for (long seed = Long.getLong("sim.from"); seed <= Long.getLong("sim.to"); seed++) {
+      for (LongConsumer test : List.<LongConsumer>of(this::storm, this::upgrade)) {
+        try {
+          test.accept(seed);
+        } catch (AssertionError | RuntimeException e) {
+          broken.append("seed ").append(seed).append(": ").append(e).append('\n');
+        }
+      }
+    }
+    assertEquals("", broken.toString());
+  }
+
   /** Old controllers end what new ones began, and the other way round, one leader after another. */
   @ParameterizedTest
   @ValueSource(longs = {21, 22})
