--- a/src/main/java/fennelthread/Controller.java
+++ b/src/main/java/fennelthread/Controller.java
@@ -22,6 +22,7 @@
 import fennelthread.wire.Flavor;
 import fennelthread.wire.WireException;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -171,8 +172,11 @@
     Fields value = Flavor.writeAll(plain);
     byte[] encoded = Codec.JSON.encode(value);
     Fields kept = replica.get(Keys.FLAVORS);
-    if (encoded.length > state.limits().valueBytes()
-        || (kept != null && java.util.Arrays.equals(Codec.JSON.encode(kept), encoded))) {
+    if (encoded.length > state.limits().valueBytes()) {
+      log.info("machine types need {} bytes and are not kept for an outage", encoded.length);
+      return;
+    }
+    if (kept != null && Arrays.equals(Codec.JSON.encode(kept), encoded)) {
       return;
     }
     state.txn(
--- a/src/main/java/fennelthread/fleet/Rentals.java
+++ b/src/main/java/fennelthread/fleet/Rentals.java
@@ -281,7 +281,6 @@
     }
     double have = 0;
     int count = 0;
-    Map<String, Double> haveByType = new HashMap<>();
     for (Machine m : fleet.machines()) {
       boolean counts =
           m.phase() == Machine.Phase.REPORTING && !m.isDraining() && m.noticeUntilMs() < 0;
@@ -291,7 +290,6 @@
       Flavor f = flavors.get(m.type());
       if (f != null && (counts || booting.containsKey(m.name()))) {
         have += f.cpus();
-        haveByType.merge(f.name(), f.cpus(), Double::sum);
       }
     }
     double peak = 0;
--- a/src/main/java/fennelthread/jobs/JobTable.java
+++ b/src/main/java/fennelthread/jobs/JobTable.java
@@ -142,7 +142,11 @@
           id, (k, parts) -> parts.remove(part) != null && parts.isEmpty() ? null : parts);
       return;
     }
-    needs.computeIfAbsent(id, k -> new TreeMap<>()).put(part, value.optTexts(JobSpec.NEEDS));
+    List<String> ids = value.optTexts(JobSpec.NEEDS);
+    if (ids == null) {
+      throw new WireException(JobSpec.NEEDS, "is missing");
+    }
+    needs.computeIfAbsent(id, k -> new TreeMap<>()).put(part, ids);
     complete(id);
   }
 
--- a/src/main/java/fennelthread/lead/Term.java
+++ b/src/main/java/fennelthread/lead/Term.java
@@ -617,15 +617,13 @@
     byMachine.forEach(
         (m, attempts) -> {
           attempts.removeIf(a -> a.phase() != Attempt.Phase.RECORDED);
-          boolean wanted = false;
           for (Attempt a : List.copyOf(attempts)) {
             if (!runs.containsKey(a.start().task().job())) {
               fleet.abandon(m, a);
               attempts.remove(a);
             }
           }
-          wanted = !attempts.isEmpty();
-          if (wanted && m.session() == attempts.get(0).start().session()
+          if (!attempts.isEmpty() && m.session() == attempts.get(0).start().session()
               && m.phase() == Machine.Phase.REPORTING) {
             fleet.sendStarts(m, attempts);
           } else {
@@ -718,7 +716,6 @@
         slack >= 0 && guaranteed.contains(spec.id()),
         spec.service() || settings.waitsMatter(spec.jobClass()),
         slack < 0,
-        slack,
         tasks.size() * Math.max(0.1, spec.cpus()) * Math.max(1, takes),
         run.order());
   }
--- a/src/main/java/fennelthread/plan/Snapshot.java
+++ b/src/main/java/fennelthread/plan/Snapshot.java
@@ -42,7 +42,7 @@
    * A job with tasks to place; {@code priority} is its own or that of a job that needs it, {@code
    * stopsAs} the one with which it may stop other work, which is no more urgent. {@code zones} counts its tasks that may be present, by zone; only
    * jobs with a rule about zones need it. A {@code late} job can't meet any time set for it any
-   * more; {@code slackS} is what is left to the next such time, {@code work} the CPU seconds that
+   * more; {@code work} is the CPU seconds that
    * its waiting tasks still take.
    */
   public record Need(
@@ -54,7 +54,6 @@
       boolean withinGuarantee,
       boolean waitMatters,
       boolean late,
-      double slackS,
       double work,
       long order) {}
 
--- a/src/test/java/fennelthread/plan/PlannerTest.java
+++ b/src/test/java/fennelthread/plan/PlannerTest.java
@@ -46,7 +46,7 @@
     for (int i = 0; i < count; i++) {
       tasks.add(i);
     }
-    return new Snapshot.Need(spec, spec.priority(), spec.priority(), tasks, Map.of(), guaranteed, false, false, 100, 1, 1);
+    return new Snapshot.Need(spec, spec.priority(), spec.priority(), tasks, Map.of(), guaranteed, false, false, 1, 1);
   }
 
   private static Map<String, Snapshot.Use> teams(double cap) {
@@ -117,14 +117,14 @@
     Snapshot.Running other = running("job-9", "azul", Priority.STANDARD, 1);
     Snapshot.Need lent =
         new Snapshot.Need(
-            need, Priority.URGENT, Priority.URGENT, List.of(0), Map.of(), false, false, false, 100, 1,
+            need, Priority.URGENT, Priority.URGENT, List.of(0), Map.of(), false, false, false, 1,
             1);
     List<Snapshot.Host> hosts = List.of(host("a", 4, 0, null, other));
     assertEquals(List.of(other), Planner.plan(snapshot(hosts, lent, Set.of())).stops());
     Snapshot.Need patient =
         new Snapshot.Need(
             need, Priority.URGENT, Priority.BEST_EFFORT, List.of(0), Map.of(), false, false, false,
-            100, 1, 1);
+            1, 1);
     assertTrue(Planner.plan(snapshot(hosts, patient, Set.of())).stops().isEmpty());
     Snapshot.Running needed =
         new Snapshot.Running(need, Priority.URGENT, 0, 1, "a", false, 4, 0, 1, NOW_MS);
@@ -147,11 +147,11 @@
     List<Snapshot.Need> needs =
         List.of(
             new Snapshot.Need(
-                late, late.priority(), late.priority(), List.of(0), Map.of(), false, false, true, -5, 10, 1),
+                late, late.priority(), late.priority(), List.of(0), Map.of(), false, false, true, 10, 1),
             new Snapshot.Need(
-                large, large.priority(), large.priority(), List.of(0), Map.of(), false, false, false, 5, 900, 2),
+                large, large.priority(), large.priority(), List.of(0), Map.of(), false, false, false, 900, 2),
             new Snapshot.Need(
-                small, small.priority(), small.priority(), List.of(0), Map.of(), false, false, false, 5, 90, 3));
+                small, small.priority(), small.priority(), List.of(0), Map.of(), false, false, false, 90, 3));
     Plan plan =
         Planner.plan(
             new Snapshot(
@@ -268,7 +268,7 @@
       Priority lent = lent(r, spec);
       needs.add(
           new Snapshot.Need(
-              spec, lent, r.nextBoolean() ? lent : spec.priority(), list, zones, r.nextBoolean(), r.nextBoolean(), r.nextInt(4) == 0, 1,
+              spec, lent, r.nextBoolean() ? lent : spec.priority(), list, zones, r.nextBoolean(), r.nextBoolean(), r.nextInt(4) == 0,
               r.nextInt(9), i));
     }
     Map<String, Snapshot.Use> teams =
