A new leader does not take an old fleet for machines that never came up

A machine known from the list alone now has its patience from the moment a term knows it. The stand-in of the cloud gave every machine an age of 1 s, which hid this; it gives the true one now, and the test fails without the change.

--- a/src/main/java/fennelthread/fleet/Rentals.java
+++ b/src/main/java/fennelthread/fleet/Rentals.java
@@ -132,11 +132,11 @@
     if (e.state().equals(HostEntry.FAILED)) {
       m.setListedFailed();
     } else if (m.phase() == Machine.Phase.UNHEARD && !booting.containsKey(e.name())) {
-      // Rented by a predecessor, or by a request of ours that was executed late.
+      // Rented by a predecessor, or by a request of ours that was executed late. Its patience begins
+      // now and not with its age: after a takeover most of an old fleet is listed before it is heard,
+      // and a new leader once returned 62 machines with their tasks, a second after its claim.
       booting.put(
-          e.name(),
-          new Booting(
-              new Kind(e.type(), e.zone(), e.spot()), host.nowMs() - (long) (e.ageS() * 1000)));
+          e.name(), new Booting(new Kind(e.type(), e.zone(), e.spot()), host.nowMs()));
     }
   }
 
--- a/src/test/java/fennelthread/sim/CloudStandIn.java
+++ b/src/test/java/fennelthread/sim/CloudStandIn.java
@@ -28,6 +28,7 @@
   private final TreeMap<String, WorkerStandIn> machines = new TreeMap<>();
   private final Map<String, List<Object>> requests = new HashMap<>();
   private final Map<String, Integer> left = new HashMap<>();
+  private final Map<String, Long> rentedAt = new HashMap<>();
   private final List<List<Object>> snapshots = new ArrayList<>();
   private boolean down;
   private int seq;
@@ -65,6 +66,7 @@
     WorkerStandIn worker =
         new WorkerStandIn(world, surroundings, name, "10.1.0." + seq + ":9000", flavor, zone, spot);
     machines.put(name, worker);
+    rentedAt.put(name, world.now());
     onWorker.accept(worker);
     if (bootMs >= 0) {
       world.after(bootMs, worker::boot);
@@ -94,7 +96,7 @@
               .with(
                   "estado",
                   w.isFailed() ? HostEntry.FAILED : w.isUp() ? "running" : HostEntry.STARTING)
-              .with("held_s", 1.0)
+              .with("held_s", (world.now() - rentedAt.get(w.name())) / 1000.0)
               .map());
     }
     snapshots.add(list);
--- a/src/test/java/fennelthread/sim/SimulationTest.java
+++ b/src/test/java/fennelthread/sim/SimulationTest.java
@@ -212,6 +212,31 @@
     assertEquals(before, c.rules.starts, "a task was started again");
   }
 
+  /**
+   * A new leader knows an old fleet from the cloud's list before it hears the workers. It must not
+   * take machines that were rented long ago for ones that never came up: it once returned dozens with
+   * all their tasks.
+   */
+  @ParameterizedTest
+  @ValueSource(longs = {36, 37})
+  void anOldFleetIsNotReturnedByANewLeader(long seed) {
+    Cluster c = calmCluster(seed);
+    JobSpec job = c.job(true, 3, 1, false, false, false);
+    c.submit(job);
+    c.world.runUntil(300_000);
+    assertEquals(3, c.rules.running(job.id()));
+    int before = c.rules.starts;
+    String first = c.leader();
+    c.crash(first, 60_000);
+    while (c.leaderOtherThan(first) == null) {
+      c.world.runUntil(c.world.now() + 1);
+    }
+    c.world.cut("n-", "nodo", 3_000);
+    c.world.runUntil(340_000);
+    assertEquals(3, c.rules.running(job.id()));
+    assertEquals(before, c.rules.starts, "a task was started again");
+  }
+
   /** Tasks live through an outage of the state service, though nothing starts meanwhile. */
   @Test
   void tasksSurviveAnOutageOfTheStateService() {
