--- a/src/main/java/fennelthread/jobs/JobStore.java
+++ b/src/main/java/fennelthread/jobs/JobStore.java
@@ -260,7 +260,11 @@
           batch.forEach(p -> underWay.remove(p.id()));
           if (result instanceof TxnResult.Applied applied) {
             Map<String, Lookup.Final> ends = new HashMap<>();
-            batch.forEach(p -> ends.compute(p.id(), (id, none) -> p.job.end));
+            for (Pending p : batch) {
+              if (p.job.end != null) {
+                ends.put(p.id(), p.job.end);
+              }
+            }
             madeFinal(txn, applied.revision(), ends);
             batch.forEach(p -> tell(p, Accepted.NEW));
           } else if (result instanceof TxnResult.Conflict conflict) {
--- a/src/main/java/fennelthread/jobs/Waits.java
+++ b/src/main/java/fennelthread/jobs/Waits.java
@@ -96,16 +96,19 @@
             reading--;
             if (end != null) {
               asked.remove(id);
-            } else {
-              // Unreachable, or live in truth and not yet known to be here: asked again later.
-              host.after(
-                  (long) (Constants.END_READ_PAUSE_MS * (1 + Constants.JITTER * host.random().nextDouble())),
-                  () -> {
-                    asked.remove(id);
-                    readUnknown();
-                  });
+              readUnknown();
+              return;
             }
-            readUnknown();
+            // Unreachable, or live in truth and not yet known to be here: asked again later. Never at
+            // once, since a refusal for want of room may come before this call returns.
+            host.after(
+                (long)
+                    (Constants.END_READ_PAUSE_MS
+                        * (1 + Constants.JITTER * host.random().nextDouble())),
+                () -> {
+                  asked.remove(id);
+                  readUnknown();
+                });
           });
     }
   }
