--- a/src/test/java/fennelthread/sim/ChainedJobsTest.java
+++ b/src/test/java/fennelthread/sim/ChainedJobsTest.java
@@ -179,6 +179,81 @@
     assertEquals("withdrawn", last.fields().text("estado"));
   }
 
+  /** A leader that ends between a withdrawal and its cascade: the next one knows what is left. */
+  @ParameterizedTest
+  @ValueSource(longs = {52, 53})
+  void cascadeByTheNextLeader(long seed) {
+    Cluster c = new Cluster(seed);
+    calm(c);
+    JobSpec root = endless(c);
+    submit(c, "nodo-0", root);
+    JobSpec next = plain(c, List.of(root.id()));
+    submit(c, "nodo-1", next);
+    JobSpec last = plain(c, List.of(next.id()));
+    submit(c, "nodo-2", last);
+    String leader = c.leader();
+    c.state.onWrite.add(
+        key -> {
+          if (key.equals("final/" + root.id())) {
+            c.crash(leader, 30_000);
+          }
+        });
+    c.withdraw(root.id());
+    c.world.runUntil(c.world.now() + 25_000);
+    assertNotEquals(leader, c.leader());
+    assertEquals(1, c.state.count("final/" + last.id()));
+    assertEquals(0, c.state.count("live/job/"));
+  }
+
+  /** An outage right after a need's end and a withdrawal: nothing is lost of either. */
+  @ParameterizedTest
+  @ValueSource(longs = {54, 55})
+  void outageBetweenAnEndAndWhatFollows(long seed) {
+    Cluster c = new Cluster(seed);
+    calm(c);
+    JobSpec first = plain(c, List.of());
+    submit(c, "nodo-0", first);
+    JobSpec second = plain(c, List.of(first.id()));
+    submit(c, "nodo-1", second);
+    JobSpec root = endless(c);
+    submit(c, "nodo-2", root);
+    JobSpec orphan = plain(c, List.of(root.id()));
+    submit(c, "nodo-0", orphan);
+    c.state.onWrite.add(
+        key -> {
+          if (key.equals("final/" + first.id())) {
+            c.withdraw(root.id());
+          } else if (key.equals("final/" + root.id())) {
+            c.world.after(0, () -> c.state.outage(12_000));
+          }
+        });
+    c.world.runUntil(c.world.now() + 90_000);
+    assertTrue(c.rules.allCompleted(second.id()));
+    assertEquals(1, c.state.count("final/" + orphan.id()));
+    assertEquals(0, c.rules.running(orphan.id()));
+  }
+
+  /** Submissions that race with the withdrawal of what they need all end withdrawn, and early. */
+  @Test
+  void submittedWhileItsNeedIsWithdrawn() {
+    Cluster c = new Cluster(56);
+    calm(c);
+    List<JobSpec> late = new ArrayList<>();
+    for (int i = 0; i < 12; i++) {
+      JobSpec root = endless(c);
+      submit(c, "nodo-0", root);
+      JobSpec next = plain(c, List.of(root.id()));
+      late.add(next);
+      c.world.after(10, () -> c.withdraw(root.id()));
+      c.world.after(2 + i, () -> c.submit(next));
+    }
+    c.world.runUntil(c.world.now() + 20_000);
+    for (JobSpec job : late) {
+      assertEquals(1, c.state.count("final/" + job.id()), job.id());
+    }
+    assertEquals(0, c.state.count("live/job/"));
+  }
+
   /** The leader withdraws all that depends on a withdrawn job, asked or not. */
   @ParameterizedTest
   @ValueSource(longs = {61, 62})
