--- a/src/test/java/fennelthread/sim/ChainedJobsTest.java
+++ b/src/test/java/fennelthread/sim/ChainedJobsTest.java
@@ -171,8 +171,7 @@
     String other = leader.equals("nodo-0") ? "nodo-1" : "nodo-0";
     c.state.delay =
         (caller, body) -> caller.equals(leader) && body.contains("withdrawn") ? 60_000 : 0;
-    c.rules.asksToCancel(root.id());
-    Answer a = ask(c, other, "POST", "/v1/jobs/" + root.id() + "/withdraw", new byte[0]);
+    Answer a = withdraw(c, other, root);
     assertEquals("withdrawn", a.fields().text("estado"));
     c.world.runUntil(c.world.now() + 1_000);
     Answer last = ask(c, other, "GET", "/v1/jobs/" + chain.get(4).id(), null);
@@ -270,8 +269,7 @@
       assertEquals(201, submit(c, "nodo-" + i % 3, next).status());
       all.add(next);
     }
-    c.rules.asksToCancel(root.id());
-    ask(c, "nodo-1", "POST", "/v1/jobs/" + root.id() + "/withdraw", new byte[0]);
+    withdraw(c, "nodo-1", root);
     c.world.runUntil(c.world.now() + 10_000);
     assertEquals(0, c.state.count("live/job/"));
     for (JobSpec job : all) {
@@ -287,8 +285,7 @@
     calm(c);
     JobSpec root = endless(c);
     submit(c, "nodo-0", root);
-    c.rules.asksToCancel(root.id());
-    ask(c, "nodo-1", "POST", "/v1/jobs/" + root.id() + "/withdraw", new byte[0]);
+    withdraw(c, "nodo-1", root);
     JobSpec next = plain(c, List.of(root.id()));
     assertEquals(201, submit(c, "nodo-2", next).status());
     c.world.runUntil(c.world.now() + 5_000);
@@ -420,26 +417,30 @@
   }
 
   private static JobSpec plain(Cluster c, List<String> needs) {
-    JobSpec any = c.job(false, 2, 1, true, false, false);
-    JobSpec spec =
-        new JobSpec(
-            any.id(), "lote", "roja", false, any.priority(), 2, 1, 0, 2, "img", 1, null, null,
-            false, false, true, 5, 0, 0, JobSpec.NO_DEADLINE, needs);
-    c.rules.submits(spec);
-    return spec;
+    return known(c, 2, 5, needs);
   }
 
-  /** A job that fits no machine's free room for long: it is live until it is withdrawn. */
+  /** A job of one task that runs for days: it is live until it is withdrawn. */
   private static JobSpec endless(Cluster c) {
-    JobSpec any = c.job(false, 1, 1, true, false, false);
+    return known(c, 1, 1_000_000, List.of());
+  }
+
+  /** The rules must know the job as it is submitted, without the place rules that chance gave it. */
+  private static JobSpec known(Cluster c, int tasks, double estimateS, List<String> needs) {
+    JobSpec any = c.job(false, tasks, 1, true, false, false);
     JobSpec spec =
         new JobSpec(
-            any.id(), "lote", "roja", false, any.priority(), 1, 1, 0, 2, "img", 1, null, null,
-            false, false, true, 1_000_000, 0, 0, JobSpec.NO_DEADLINE);
+            any.id(), "lote", "roja", false, any.priority(), tasks, 1, 0, 2, "img", 1, null, null,
+            false, false, true, estimateS, 0, 0, JobSpec.NO_DEADLINE, needs);
     c.rules.submits(spec);
     return spec;
   }
 
+  private static Answer withdraw(Cluster c, String member, JobSpec job) {
+    c.rules.asksToCancel(job.id());
+    return ask(c, member, "POST", "/v1/jobs/" + job.id() + "/withdraw", new byte[0]);
+  }
+
   private static Answer submit(Cluster c, String member, JobSpec spec) {
     return ask(c, member, "POST", "/v1/jobs", Codec.CBOR.encode(spec.write()));
   }
--- a/src/test/java/fennelthread/sim/Cluster.java
+++ b/src/test/java/fennelthread/sim/Cluster.java
@@ -325,13 +325,8 @@
                 }));
   }
 
-  /** A job like this one that waits for others. */
-  JobSpec after(JobSpec spec, List<String> needs) {
-    return spec.withNeeds(needs);
-  }
-
   private JobSpec stage(List<String> needs) {
-    return after(job(false, 1 + world.random.nextInt(5), 1, true, false, false), needs);
+    return job(false, 1 + world.random.nextInt(5), 1, true, false, false).withNeeds(needs);
   }
 
   /**
