--- a/src/main/java/fennelthread/cli/Train.java
+++ b/src/main/java/fennelthread/cli/Train.java
@@ -92,7 +92,7 @@
           }
           controller.mesh().handle(new Request("GET", "/none", null), answer -> {});
         });
-    boolean all = answers.await(8, TimeUnit.SECONDS);
+    boolean all = answers.await(30, TimeUnit.SECONDS);
     Thread.sleep(500);
     return all ? 0 : 1;
   }
@@ -111,7 +111,8 @@
     try (JarFile file = new JarFile(jar.toFile())) {
       for (JarEntry entry : (Iterable<JarEntry>) file.stream()::iterator) {
         String name = entry.getName();
-        if (name.startsWith("fennelthread/") && name.endsWith(".class")) {
+        boolean served = name.startsWith("fennelthread/") && !name.startsWith("fennelthread/lab/");
+        if (served && name.endsWith(".class")) {
           Class.forName(name.substring(0, name.length() - 6).replace('/', '.'));
         }
       }
