World, cluster, stand-ins and rules move from the tests into package lab

What the service is tried in is code of its own: a load tool and experiments will stand on it. Nothing of it is loaded by run; LayersTest holds that nothing outside lab knows it. Unchanged in what is checked; the cluster is described by a Deployment (controllers, zones, leases), and the world can cut a zone off, one way or in part.

--- a/src/test/java/fennelthread/sim/CloudStandIn.java
+++ b/src/main/java/fennelthread/lab/CloudStandIn.java
@@ -1,4 +1,4 @@
-package fennelthread.sim;
+package fennelthread.lab;
 
 import fennelthread.net.Answer;
 import fennelthread.net.Request;
@@ -17,11 +17,7 @@
 
 /** The cloud as its protocol describes it: lists are late, some machines never come up. */
 final class CloudStandIn implements Service {
-  static final List<Flavor> FLAVORS =
-      List.of(
-          new Flavor("mesa", 4, 0, 16, 20, 0.5, 0.3, 0.1, 6, List.of("norte", "sur")),
-          new Flavor("torre", 16, 1, 64, 40, 1, 1.5, 0.5, 9, List.of("norte", "sur")));
-
+  private final List<Flavor> flavors;
   private final World world;
   private final Consumer<WorkerStandIn> onWorker;
   private final WorkerStandIn.Surroundings surroundings;
@@ -37,16 +33,20 @@
       World world,
       WorkerStandIn.Surroundings surroundings,
       Consumer<WorkerStandIn> onWorker,
-      int small,
-      int big) {
+      Deployment deployment) {
     this.world = world;
     this.surroundings = surroundings;
     this.onWorker = onWorker;
-    for (String zone : List.of("norte", "sur")) {
-      left.put("mesa" + zone + false, small);
-      left.put("mesa" + zone + true, small / 2);
-      left.put("torre" + zone + false, big);
-      left.put("torre" + zone + true, big / 2);
+    List<String> zones = deployment.zones();
+    this.flavors =
+        List.of(
+            new Flavor("mesa", 4, 0, 16, 20, 0.5, 0.3, 0.1, 6, zones),
+            new Flavor("torre", 16, 1, 64, 40, 1, 1.5, 0.5, 9, zones));
+    for (String zone : zones) {
+      left.put("mesa" + zone + false, deployment.small());
+      left.put("mesa" + zone + true, deployment.small() / 2);
+      left.put("torre" + zone + false, deployment.big());
+      left.put("torre" + zone + true, deployment.big() / 2);
     }
     snapshot();
   }
@@ -65,9 +65,10 @@
 
   WorkerStandIn rent(String type, String zone, boolean spot, long bootMs) {
     String name = String.format("n-%06d", ++seq);
-    Flavor flavor = FLAVORS.stream().filter(f -> f.name().equals(type)).findFirst().orElseThrow();
+    Flavor flavor = flavors.stream().filter(f -> f.name().equals(type)).findFirst().orElseThrow();
     WorkerStandIn worker =
         new WorkerStandIn(world, surroundings, name, "10.1.0." + seq + ":9000", flavor, zone, spot);
+    world.place(name, zone);
     machines.put(name, worker);
     rentedAt.put(name, world.now());
     onWorker.accept(worker);
@@ -118,7 +119,7 @@
     try {
       String path = request.path();
       if (path.equals("/flavors")) {
-        reply.accept(Answer.of(200, Codec.CBOR, Flavor.writeAll(FLAVORS)));
+        reply.accept(Answer.of(200, Codec.CBOR, Flavor.writeAll(flavors)));
       } else if (path.startsWith("/hosts?")) {
         int age = 2 + world.random.nextInt(5);
         List<Object> old = snapshots.get(Math.max(0, snapshots.size() - age));
--- a/src/test/java/fennelthread/sim/Cluster.java
+++ b/src/main/java/fennelthread/lab/Cluster.java
@@ -1,8 +1,9 @@
-package fennelthread.sim;
+package fennelthread.lab;
 
 import fennelthread.Controller;
 import fennelthread.net.Answer;
 import fennelthread.net.Call;
+import fennelthread.net.Host;
 import fennelthread.net.Service;
 import fennelthread.settings.Options;
 import fennelthread.settings.Settings;
@@ -20,13 +21,26 @@
 import java.util.TreeMap;
 import java.util.function.BooleanSupplier;
 
-/** Three controllers and everything around them, in one seeded world. */
+/** Controllers and everything around them, in one seeded world. */
 final class Cluster implements WorkerStandIn.Surroundings {
   static final String STATE = "10.2.0.1:2379";
-  static final Settings.State LIMITS = new Settings.State(500, 200, 8 * 1024, 8);
-  private static final Settings.State LARGE_LIMITS = new Settings.State(150, 50, 8 * 1024, 16);
   static final String CLOUD = "10.2.0.2:8443";
 
+  /**
+   * Makes controllers of the version in production, which is not part of this one: the tests set it, since
+   * they take it from the repository's history.
+   */
+  static OldVersion oldVersion =
+      (host, settings, limits) -> {
+        throw new IllegalStateException("nobody knows the version in production here");
+      };
+
+  /** Makes a controller of an older version; {@code limits} are those of the state service that it knows. */
+  @FunctionalInterface
+  interface OldVersion {
+    Node controller(Host host, Settings settings, Settings.State limits);
+  }
+
   final World world;
   final Rules rules;
   final StateStandIn state;
@@ -34,6 +48,7 @@
   final Settings settings;
   final Map<String, World.Process> processes = new TreeMap<>();
   final Map<String, Node> controllers = new TreeMap<>();
+  final Deployment deployment;
   private final Set<String> inProduction = new HashSet<>();
   final List<JobSpec> jobs = new ArrayList<>();
   private final World.Process users;
@@ -80,100 +95,105 @@
   }
 
   Cluster(long seed, double teamCap) {
-    this(seed, teamCap, 6, 1, LIMITS, LIMITS, false);
+    this(seed, Deployment.tiny().withTeamCap(teamCap));
   }
 
   /** A cluster whose state service will have lower limits, which its controllers know of. */
   static Cluster limited(long seed, Settings.State next, boolean production) {
-    return new Cluster(seed, 60, 6, 1, LIMITS, next, production);
+    Deployment d = Deployment.tiny().withNext(next);
+    return new Cluster(seed, production ? d.inProduction() : d);
   }
 
   /** A cluster of so many small machines at the start, with ordinary limits at the state service. */
   static Cluster large(long seed, int machines) {
-    return new Cluster(
-        seed, machines * 8, machines, machines / 20, LARGE_LIMITS, LARGE_LIMITS, false);
-  }
-
-  private Cluster(
-      long seed,
-      double teamCap,
-      int small,
-      int big,
-      Settings.State limits,
-      Settings.State next,
-      boolean production) {
+    return new Cluster(seed, Deployment.large(machines));
+  }
+
+  Cluster(long seed, Deployment deployment) {
+    this.deployment = deployment;
     world = new World(seed);
-    for (int i = 0; i < 3; i++) {
+    for (int i = 0; i < deployment.controllers(); i++) {
       addresses.put("nodo-" + i, "10.0.0." + (i + 1) + ":8080");
     }
+    int small = deployment.small();
     Map<String, Settings.Team> teams = new TreeMap<>();
-    teams.put("roja", new Settings.Team("roja", small * 4, teamCap, 2, 4));
-    teams.put("azul", new Settings.Team("azul", small * 8 / 3, teamCap, 0, 2));
-    settings = settingsOf("nodo-0", teams, next);
+    teams.put("roja", new Settings.Team("roja", small * 4, deployment.teamCap(), 2, 4));
+    teams.put("azul", new Settings.Team("azul", small * 8 / 3, deployment.teamCap(), 0, 2));
+    settings = settingsOf("nodo-0", teams);
     rules = new Rules(world, settings);
     World.Process stateProcess = world.new Process("state");
-    state = new StateStandIn(world, stateProcess, limits);
+    state = new StateStandIn(world, stateProcess, deployment.limits());
     stateProcess.listen(STATE, state);
     world.name(STATE, "state");
     World.Process cloudProcess = world.new Process("cloud");
-    cloud = new CloudStandIn(world, this, w -> {}, small, Math.max(2, big));
+    cloud = new CloudStandIn(world, this, w -> {}, deployment);
     cloudProcess.listen(CLOUD, cloud);
     world.name(CLOUD, "cloud");
     users = world.new Process("users");
     for (String member : addresses.keySet()) {
       world.name(addresses.get(member), member);
       world.name(meshOf(member), member);
-      if (production) {
+      world.place(member, siteOf(member));
+      if (deployment.production()) {
         inProduction.add(member);
       }
       start(member);
     }
-    for (int i = 0; i < small - 1; i++) {
-      cloud.rent("mesa", i % 2 == 0 ? "norte" : "sur", false, 0);
+    List<String> zones = deployment.zones();
+    for (int i = 0; i < deployment.firstSmall(); i++) {
+      cloud.rent("mesa", zones.get(i % zones.size()), false, 0);
     }
-    for (int i = 0; i < big; i++) {
-      cloud.rent("torre", "norte", false, 0);
+    for (int i = 0; i < deployment.firstBig(); i++) {
+      cloud.rent("torre", zones.get(0), false, 0);
     }
     world.afterEach(rules::check);
     state.onWrite.add(this::checkFence);
   }
 
   private static String meshOf(String member) {
-    return "10.0.0." + (member.charAt(member.length() - 1) - '0' + 1) + ":8081";
+    return "10.0.0." + (indexOf(member) + 1) + ":8081";
+  }
+
+  private static int indexOf(String member) {
+    return Integer.parseInt(member.substring(member.lastIndexOf('-') + 1));
   }
 
-  private static Settings settingsOf(
-      String member, Map<String, Settings.Team> teams, Settings.State limits) {
+  /** The zone that a controller is in. */
+  String siteOf(String member) {
+    List<String> zones = deployment.zones();
+    return zones.get(indexOf(member) % zones.size());
+  }
+
+  private Settings settingsOf(String member, Map<String, Settings.Team> teams) {
     List<Settings.Sibling> siblings = new ArrayList<>();
-    for (int i = 0; i < 3; i++) {
-      String other = "nodo-" + i;
+    for (String other : addresses.keySet()) {
       if (!other.equals(member)) {
-        siblings.add(new Settings.Sibling(other, meshOf(other)));
+        siblings.add(new Settings.Sibling(other, siteOf(other), meshOf(other)));
       }
     }
     return new Settings(
         member,
-        "norte",
-        "10.0.0." + (member.charAt(5) - '0' + 1) + ":8080",
+        siteOf(member),
+        addresses.get(member),
         meshOf(member),
         siblings,
         CLOUD,
         STATE,
-        List.of("norte", "sur"),
+        deployment.zones(),
         teams,
         List.of(new Settings.Objective("wait", "servicio", 1, 0.9, 0)),
-        new Settings.Workers(1_500, 10_000, 30_000),
-        limits,
+        new Settings.Workers(deployment.reportMs(), deployment.leaseMs(), 30_000),
+        deployment.next(),
         new Settings.Cloud(5, 2_000),
         500);
   }
 
   void start(String member) {
     World.Process process = world.new Process(member);
-    Settings own = settingsOf(member, settings.teams(), settings.state());
+    Settings own = settingsOf(member, settings.teams());
     Node controller =
         inProduction.contains(member)
-            ? Production.controller(process, own, LIMITS)
+            ? oldVersion.controller(process, own, deployment.limits())
             : Node.of(new Controller(process, own, Options.DEFAULTS));
     process.listen(addresses.get(member), controller.api());
     process.listen(meshOf(member), controller.mesh());
@@ -289,9 +309,12 @@
 
   /** No controller reaches another for so long. */
   void refuseMesh(long forMs) {
-    world.cut("nodo-0", "nodo-1", forMs);
-    world.cut("nodo-0", "nodo-2", forMs);
-    world.cut("nodo-1", "nodo-2", forMs);
+    List<String> members = List.copyOf(addresses.keySet());
+    for (int i = 0; i < members.size(); i++) {
+      for (int j = i + 1; j < members.size(); j++) {
+        world.cut(members.get(i), members.get(j), forMs);
+      }
+    }
   }
 
   JobSpec randomJob() {
@@ -494,7 +517,7 @@
   }
 
   private void trouble() {
-    String member = "nodo-" + world.random.nextInt(3);
+    String member = "nodo-" + world.random.nextInt(addresses.size());
     String leads = leader();
     String busiest = leads == null ? member : leads;
     List<WorkerStandIn> all = List.copyOf(cloud.machines().values());
@@ -503,7 +526,7 @@
     switch (world.random.nextInt(14)) {
       case 0 -> crash(member, 3_000);
       case 1 -> crash(busiest, 5_000);
-      case 2 -> List.of("nodo-0", "nodo-1", "nodo-2").forEach(m -> crash(m, span / 2));
+      case 2 -> List.copyOf(addresses.keySet()).forEach(m -> crash(m, span / 2));
       case 3 -> state.outage(span);
       case 4 -> state.refuse(busiest, span);
       case 5 -> cloud.outage(span);
--- a/src/test/java/fennelthread/sim/Rules.java
+++ b/src/main/java/fennelthread/lab/Rules.java
@@ -1,4 +1,4 @@
-package fennelthread.sim;
+package fennelthread.lab;
 
 import fennelthread.settings.Settings;
 import fennelthread.wire.JobSpec;
--- a/src/test/java/fennelthread/sim/WorkerStandIn.java
+++ b/src/main/java/fennelthread/lab/WorkerStandIn.java
@@ -1,4 +1,4 @@
-package fennelthread.sim;
+package fennelthread.lab;
 
 import fennelthread.net.Answer;
 import fennelthread.net.Call;
--- a/src/test/java/fennelthread/sim/World.java
+++ b/src/main/java/fennelthread/lab/World.java
@@ -1,4 +1,4 @@
-package fennelthread.sim;
+package fennelthread.lab;
 
 import fennelthread.net.Answer;
 import fennelthread.net.Call;
@@ -92,14 +92,81 @@
         forMs,
         () -> {
           cuts.remove(link);
-          List<Runnable> packets = held.remove(link);
-          if (packets != null) {
-            packets.forEach(Runnable::run);
-          }
+          release(link);
         });
   }
 
+  /** Which packets a cut-off zone loses. */
+  enum Way {
+    BOTH,
+    /** Only those from the zone to elsewhere. */
+    OUT,
+    /** Only those into it. */
+    IN
+  }
+
+  private record ZoneCut(String zone, Way way, double share) {}
+
+  private final Map<String, String> zoneOf = new HashMap<>();
+  private final Set<ZoneCut> zoneCuts = new HashSet<>();
+
+  /** Says in which zone something is; what is in none is reached from everywhere but cut-off zones. */
+  void place(String name, String zone) {
+    zoneOf.put(name, zone);
+  }
+
+  /** Cuts a zone off from all that is not in it; inside it everything goes on. */
+  void cutZone(String zone, long forMs) {
+    cutZone(zone, forMs, Way.BOTH, 1);
+  }
+
+  /** The same for one way, or for a share of what is in the zone: always the same ones. */
+  void cutZone(String zone, long forMs, Way way, double share) {
+    ZoneCut cut = new ZoneCut(zone, way, share);
+    zoneCuts.add(cut);
+    after(
+        forMs,
+        () -> {
+          zoneCuts.remove(cut);
+          release("zone " + zone);
+        });
+  }
+
+  private void release(String link) {
+    List<Runnable> packets = held.remove(link);
+    if (packets != null) {
+      packets.forEach(Runnable::run);
+    }
+  }
+
+  private String zoneCutBetween(String from, String to) {
+    if (zoneCuts.isEmpty()) {
+      return null;
+    }
+    String fromZone = zoneOf.getOrDefault(from, "");
+    String toZone = zoneOf.getOrDefault(to, "");
+    if (fromZone.equals(toZone)) {
+      return null;
+    }
+    for (ZoneCut c : zoneCuts) {
+      boolean out = c.zone.equals(fromZone) && c.way != Way.IN && isPartOf(from, c);
+      boolean in = c.zone.equals(toZone) && c.way != Way.OUT && isPartOf(to, c);
+      if (out || in) {
+        return "zone " + c.zone;
+      }
+    }
+    return null;
+  }
+
+  private static boolean isPartOf(String name, ZoneCut cut) {
+    return Math.floorMod(name.hashCode() * 0x9E3779B9, 1000) < cut.share * 1000;
+  }
+
   private String cutBetween(String from, String to) {
+    String zone = zoneCutBetween(from, to);
+    if (zone != null) {
+      return zone;
+    }
     for (String link : cuts) {
       int bar = link.indexOf('|');
       String a = link.substring(0, bar);
--- a/src/main/java/fennelthread/settings/Settings.java
+++ b/src/main/java/fennelthread/settings/Settings.java
@@ -34,8 +34,8 @@
     Cloud cloud,
     int maxConnections) {
 
-  /** Another controller. */
-  public record Sibling(String member, String addr) {}
+  /** Another controller; {@code site} is the zone that it is in, empty if the settings do not say. */
+  public record Sibling(String member, String site, String addr) {}
 
   /** A team's guarantee and caps; a cap of 0 means that there is none. */
   public record Team(String name, double cpus, double cpusMax, double cards, double cardsMax) {}
@@ -171,7 +171,11 @@
     Settings settings() throws SettingsException {
       List<Sibling> siblings = new ArrayList<>();
       for (JsonNode n : root.path("siblings")) {
-        siblings.add(new Sibling(text(n, "siblings.", "member"), address(n, "siblings.", "addr")));
+        siblings.add(
+            new Sibling(
+                text(n, "siblings.", "member"),
+                n.path("site").asText(""),
+                address(n, "siblings.", "addr")));
       }
       JsonNode cluster = object("cluster");
       List<String> zones = new ArrayList<>();
--- a/src/test/java/fennelthread/LayersTest.java
+++ b/src/test/java/fennelthread/LayersTest.java
@@ -40,10 +40,16 @@
   /** Subsystems are wired in by the controller; nothing below it knows it, or the command line. */
   @ArchTest
   static final ArchRule nothingKnowsTheController =
-      noClasses().that().resideOutsideOfPackages("fennelthread", "..cli..")
+      noClasses().that().resideOutsideOfPackages("fennelthread", "..cli..", "..lab..")
           .should().dependOnClassesThat().resideInAPackage("..cli..")
           .orShould().dependOnClassesThat().belongToAnyOf(Controller.class);
 
+  /** What the service is tried in is no part of it: nothing of it is loaded where it runs. */
+  @ArchTest
+  static final ArchRule nothingKnowsTheLab =
+      noClasses().that().resideOutsideOfPackage("..lab..")
+          .should().dependOnClassesThat().resideInAPackage("..lab..");
+
   /** Bodies for users, workers and the cloud are put together in {@code wire} alone. */
   @ArchTest
   static final ArchRule wireNamesOnlyInWire =
--- a/src/test/java/fennelthread/sim/ChainedJobsTest.java
+++ b/src/test/java/fennelthread/lab/ChainedJobsTest.java
@@ -1,4 +1,4 @@
-package fennelthread.sim;
+package fennelthread.lab;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -23,6 +23,10 @@
 
 /** Jobs that wait for others, on controllers of one version and of two, with the rules checked. */
 class ChainedJobsTest {
+  static {
+    Production.serve();
+  }
+
   private static final Settings.State NEXT = new Settings.State(400, 80, 2 * 1024, 4);
 
   /** Whatever fails, and though the limits fall without notice, no rule is broken and all is done. */
--- a/src/test/java/fennelthread/sim/CostTest.java
+++ b/src/test/java/fennelthread/lab/CostTest.java
@@ -1,4 +1,4 @@
-package fennelthread.sim;
+package fennelthread.lab;
 
 import fennelthread.wire.JobSpec;
 import java.util.HashMap;
--- a/src/test/java/fennelthread/sim/HeapTest.java
+++ b/src/test/java/fennelthread/lab/HeapTest.java
@@ -1,4 +1,4 @@
-package fennelthread.sim;
+package fennelthread.lab;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
--- a/src/test/java/fennelthread/sim/Production.java
+++ b/src/test/java/fennelthread/lab/Production.java
@@ -1,4 +1,4 @@
-package fennelthread.sim;
+package fennelthread.lab;
 
 import fennelthread.net.Host;
 import fennelthread.net.Service;
@@ -39,6 +39,11 @@
 
   private static final Loader LOADER = load();
 
+  /** Clusters whose deployment says so begin with the version in production from now on. */
+  static void serve() {
+    Cluster.oldVersion = Production::controller;
+  }
+
   private Production() {}
 
   /** A controller of the old version; {@code limits} are those that it knows of. */
--- a/src/test/java/fennelthread/sim/RelayTest.java
+++ b/src/test/java/fennelthread/lab/RelayTest.java
@@ -1,4 +1,4 @@
-package fennelthread.sim;
+package fennelthread.lab;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
@@ -23,6 +23,10 @@
  * everything that runs is lost.
  */
 class RelayTest {
+  static {
+    Production.serve();
+  }
+
   private static final int MACHINES = 200;
   private static final long CUT_MS = 14_000;
 
@@ -136,7 +140,7 @@
   @ParameterizedTest
   @ValueSource(longs = {18, 19, 20})
   void oldAndNewSideBySide(long seed) {
-    Cluster c = Cluster.limited(seed, Cluster.LIMITS, true);
+    Cluster c = new Cluster(seed, Deployment.tiny().inProduction());
     c.storm(60_000);
     c.world.runUntil(10_000);
     c.upgrade("nodo-" + seed % 3, 2_000);
--- a/src/test/java/fennelthread/relay/CourierTest.java
+++ b/src/test/java/fennelthread/relay/CourierTest.java
@@ -66,7 +66,7 @@
   private final Settings settings =
       new Settings(
           "nodo-0", "norte", "10.0.0.1:8080", "10.0.0.1:8081",
-          List.of(new Settings.Sibling("nodo-1", "10.0.0.2:8081")), "10.2.0.2:8443",
+          List.of(new Settings.Sibling("nodo-1", "here", "10.0.0.2:8081")), "10.2.0.2:8443",
           "10.2.0.1:2379", List.of("norte"), Map.of(), List.of(),
           new Settings.Workers(1_500, 10_000, 30_000), new Settings.State(500, 200, 8_192, 8),
           new Settings.Cloud(5, 2_000), 500);
