Restarts within 50 ms: tests, model, unserved; a process that keeps ending leaves the lead

A leader whose process ends soon after each claim came back, ended its own grant and claimed again before anyone else could: it led a moment at a time for as long as its fault lasted. Change: its successor process leaves the next claim to siblings for 0.4 s (the leader's record says when it was claimed). Rules: unserved (a class of which less than half is served), checked at the end of tests on large clusters.

--- a/src/main/java/fennelthread/Constants.java
+++ b/src/main/java/fennelthread/Constants.java
@@ -406,6 +406,12 @@
   /** How long a controller that yielded leaves the claim to others, ms. */
   public static final long YIELD_PAUSE_MS = 8_000;
 
+  /** A process whose predecessor ended so soon after its claim leaves the next one to others, ms. */
+  public static final long FLAPPING_MS = 15_000;
+
+  /** For how long, ms: siblings that are there claim within 60 ms and a call. */
+  public static final long FLAPPING_PAUSE_MS = 400;
+
   /** Longest random wait before a claim, ms: followers rarely claim at the same instant. */
   public static final long CLAIM_SPREAD_MS = 60;
 
--- a/src/main/java/fennelthread/lab/Rules.java
+++ b/src/main/java/fennelthread/lab/Rules.java
@@ -7,6 +7,7 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 
 /**
  * The protocol's rules, checked from outside: this knows only what happened on machines and what
@@ -25,8 +26,26 @@
   private final Map<String, WorkerStandIn> where = new HashMap<>();
   private final Map<String, double[]> teams = new HashMap<>();
   private final Map<String, Map<String, Integer>> zones = new HashMap<>();
+  private final Map<String, Integer> present = new HashMap<>();
+  private final Map<String, Long> acceptedAt = new HashMap<>();
+  private final Map<String, Served> served = new TreeMap<>();
+  private long sampledAt;
   int starts;
 
+  /** What a class of jobs was to have, and what it had. */
+  private static final class Served {
+    long replicasWanted;
+    long replicasUp;
+    long jobsWanted;
+    long jobsDone;
+
+    double share() {
+      double replicas = replicasWanted == 0 ? 1 : replicasUp / (double) replicasWanted;
+      double jobs = jobsWanted == 0 ? 1 : jobsDone / (double) jobsWanted;
+      return Math.min(replicas, jobs);
+    }
+  }
+
   Rules(World world, Settings settings) {
     this.world = world;
     this.settings = settings;
@@ -113,11 +132,51 @@
   }
 
   int running(String id) {
-    int n = 0;
-    for (String task : where.keySet()) {
-      n += task.startsWith(id + "/") ? 1 : 0;
+    return present.getOrDefault(id, 0);
+  }
+
+  /** Replicas that should be up and are, looked at twice a second; from 20 s after a service's acceptance. */
+  private void sample() {
+    if (world.now() < sampledAt + 500) {
+      return;
+    }
+    sampledAt = world.now();
+    for (Map.Entry<String, Long> e : acceptedAt.entrySet()) {
+      JobSpec spec = submitted.get(e.getKey());
+      if (spec.service() && !cancelAsked.contains(spec.id()) && world.now() > e.getValue() + 20_000) {
+        Served s = served.computeIfAbsent(spec.jobClass(), k -> new Served());
+        s.replicasWanted += spec.tasks();
+        s.replicasUp += Math.min(spec.tasks(), running(spec.id()));
+      }
     }
-    return n;
+  }
+
+  /**
+   * The rule of the operators' page on whole days: at least half of each class of jobs is served, replicas by
+   * time and arrays by jobs that are complete, those apart that were accepted in the last minutes.
+   *
+   * @param settleMs how long before now an array must have been accepted to count, ms
+   */
+  void checkServed(long settleMs) {
+    for (Map.Entry<String, Long> e : acceptedAt.entrySet()) {
+      JobSpec spec = submitted.get(e.getKey());
+      boolean counts =
+          !spec.service()
+              && !cancelAsked.contains(spec.id())
+              && ancestors(spec.id()).stream().noneMatch(cancelAsked::contains)
+              && e.getValue() < world.now() - settleMs;
+      if (counts) {
+        Served s = served.computeIfAbsent(spec.jobClass(), k -> new Served());
+        s.jobsWanted++;
+        s.jobsDone += allCompleted(spec.id()) ? 1 : 0;
+      }
+    }
+    served.forEach(
+        (jobClass, s) -> {
+          if (s.share() < 0.5) {
+            broken("unserved", jobClass + " " + s.share());
+          }
+        });
   }
 
   void begins(WorkerStandIn w, JobSpec spec, int index) {
@@ -127,6 +186,7 @@
     if (other != null) {
       broken("ran_twice", task + " starts on " + w.name() + " while on " + other.name());
     }
+    present.merge(spec.id(), 1, Integer::sum);
     Settings.Team team = settings.teams().get(spec.team());
     double[] used = teams.computeIfAbsent(spec.team(), k -> new double[2]);
     used[0] += spec.cpus();
@@ -168,6 +228,7 @@
   void ends(WorkerStandIn w, JobSpec spec, int index, boolean done) {
     String task = spec.id() + "/" + index;
     where.remove(task);
+    present.merge(spec.id(), -1, Integer::sum);
     double[] used = teams.get(spec.team());
     used[0] -= spec.cpus();
     used[1] -= spec.cards();
@@ -179,6 +240,7 @@
 
   /** Checked after every event. */
   void check() {
+    sample();
     for (Map.Entry<String, Long> e : cancelTold.entrySet()) {
       if (world.now() > e.getValue() + settings.workers().cancelMs()
           && world.now() < e.getValue() + settings.workers().cancelMs() + 2_000
@@ -202,6 +264,7 @@
       broken("invented", id);
     }
     accepted.add(id);
+    acceptedAt.putIfAbsent(id, world.now());
     if (before.orphan && (state.equals("pending") || state.equals("running"))) {
       broken("orphaned", id + " is called " + state);
     }
--- a/src/main/java/fennelthread/lab/StateStandIn.java
+++ b/src/main/java/fennelthread/lab/StateStandIn.java
@@ -138,6 +138,11 @@
   /** Holds a transaction back in the network for so many milliseconds. */
   java.util.function.ToLongBiFunction<String, String> delay = (caller, body) -> 0;
 
+  /** Whose request is being handled. */
+  String caller() {
+    return process.caller;
+  }
+
   @Override
   public void handle(Request request, Consumer<Answer> reply) {
     if (request.path().equals("/multi")) {
--- a/src/main/java/fennelthread/lead/Lease.java
+++ b/src/main/java/fennelthread/lead/Lease.java
@@ -272,6 +272,11 @@
         return;
       }
       endingOld = true;
+      if (Math.abs(host.wallMs() - lead.count("at_ms", 0)) < Constants.FLAPPING_MS) {
+        // Our predecessor ended soon after its claim, and so may we: whoever runs well goes first. A process
+        // that ends at once each time would otherwise lead for ever, a moment at a time.
+        notBefore = Math.max(notBefore, host.nowMs() + Constants.FLAPPING_PAUSE_MS);
+      }
       state.endGrant(
           lead.count("permiso"),
           status -> {
@@ -340,7 +345,8 @@
                           .with("incarnation", incarnation)
                           .with("epoch", next)
                           .with("permiso", id)
-                          .with("promises", true),
+                          .with("promises", true)
+                          .with("at_ms", host.wallMs()),
                       id)
                   .write(
                       Keys.EPOCH,
--- a/src/test/java/fennelthread/lab/KeepTest.java
+++ b/src/test/java/fennelthread/lab/KeepTest.java
@@ -42,6 +42,7 @@
     for (JobSpec job : services.subList(15, 20)) {
       assertEquals(job.tasks(), c.rules.running(job.id()), job.id());
     }
+    c.rules.checkServed(30_000);
   }
 
   /**
@@ -58,6 +59,7 @@
     c.world.runUntil(c.world.now() + 70_000);
     assertFewAgain(before, c);
     assertTrue(c.allRun(services));
+    c.rules.checkServed(30_000);
   }
 
   /** The same with the leader's end 2 s after the cut, in the zone and elsewhere. */
--- a/src/test/java/fennelthread/lab/ManyMachinesTest.java
+++ b/src/test/java/fennelthread/lab/ManyMachinesTest.java
@@ -56,6 +56,7 @@
         seed, c.rules.starts - before, returned(c, up), whole - 40_000);
     assertTrue(whole < 58_000, "replicas whole again at " + whole);
     c.world.runUntil(120_000);
+    c.rules.checkServed(30_000);
     assertTrue(c.allRun(services));
   }
 
--- a/src/test/java/fennelthread/lab/PairsTest.java
+++ b/src/test/java/fennelthread/lab/PairsTest.java
@@ -128,6 +128,7 @@
       up.add(running / 120.0);
     }
     c.world.runUntil(FIRST_MS + 120_000);
+    c.rules.checkServed(30_000);
     double worst = 1;
     int window = (int) (WINDOW_MS / 500);
     for (int i = 0; i + window <= up.size(); i++) {
--- a/src/test/java/fennelthread/membership/TakeoverModelTest.java
+++ b/src/test/java/fennelthread/membership/TakeoverModelTest.java
@@ -15,7 +15,8 @@
 /**
  * The rules of taking over, searched through: a leader, two siblings and the state service, with messages
  * and transactions that arrive at any later time or never, and a sibling that restarts. Whatever can happen
- * in some ticks does: the leader must never think that it may start once a takeover was applied. The grant
+ * in some ticks does: the leader must never think that it may start once a takeover was applied. The leader
+ * may restart too, while its last messages are under way, and lead again under the next epoch. The grant
  * is left out, as if it ran for ever. Without one of the rules the search prints the shortest way to two
  * that may start.
  */
@@ -43,7 +44,9 @@
     /** A new process does not agree before promises that it has forgotten are over. */
     BORN_LATE,
     /** Each word is conditional on the one before. */
-    CHAIN
+    CHAIN,
+    /** What was promised, agreed or asked for one epoch counts for no other. */
+    EPOCHS
   }
 
   /** Nothing, for messages and times. */
@@ -68,7 +71,15 @@
     int leaderRevision;
     int words;
     int restarts;
+    int leaderRestarts;
     int epoch = 1;
+    int leaderEpoch = 1;
+    int[] known = {1, 1};
+    int[] greetingOf = {0, 0};
+    int[] ackOf = {0, 0};
+    int[] agreedOf = {0, 0};
+    int[] takeoverOf = {0, 0};
+    int[] wordOf = new int[MOST_WORDS];
     /** Words under way: on or off, and the revision that each is conditional on. */
     int[] sentOn = new int[MOST_WORDS];
     int[] sentCondition = {NONE, NONE};
@@ -93,6 +104,14 @@
       s.words = words;
       s.restarts = restarts;
       s.epoch = epoch;
+      s.leaderRestarts = leaderRestarts;
+      s.leaderEpoch = leaderEpoch;
+      s.known = known.clone();
+      s.greetingOf = greetingOf.clone();
+      s.ackOf = ackOf.clone();
+      s.agreedOf = agreedOf.clone();
+      s.takeoverOf = takeoverOf.clone();
+      s.wordOf = wordOf.clone();
       s.sentOn = sentOn.clone();
       s.sentCondition = sentCondition.clone();
       return s;
@@ -103,19 +122,22 @@
       for (int[] a :
           new int[][] {
             asked, greeting, ack, promised, bound, agreesFrom, knownRevision, knownWord, agreed,
-            takeover, sentOn, sentCondition
+            takeover, sentOn, sentCondition, known, greetingOf, ackOf, agreedOf, takeoverOf, wordOf
           }) {
         for (int v : a) {
           b.append((char) ('0' + v));
         }
       }
-      for (int v : new int[] {now, alone, word, revision, leaderRevision, words, restarts, epoch}) {
+      for (int v : new int[] {now, alone, word, revision, leaderRevision, words, restarts, epoch, leaderRestarts, leaderEpoch}) {
         b.append((char) ('0' + v));
       }
       return b.toString();
     }
 
     boolean mayStart() {
+      if (leaderEpoch == 0) {
+        return false;
+      }
       return alone == 1
           || (asked[0] != NONE && now < asked[0] + PROMISE)
           || (asked[1] != NONE && now < asked[1] + PROMISE);
@@ -133,47 +155,54 @@
       sibling(s, x, w, steps);
     }
     words(s, w, steps);
+    leader(s, steps);
     return steps;
   }
 
   private static void sibling(State s, int x, Without w, List<Search.Step<State>> steps) {
     String name = x == 0 ? "F" : "G";
-    if (s.greeting[x] == NONE && s.ack[x] == NONE) {
+    boolean epochs = w != Without.EPOCHS;
+    if (s.leaderEpoch != 0
+        && s.ack[x] == NONE
+        && (s.greeting[x] == NONE || s.greetingOf[x] != s.leaderEpoch)) {
       State t = s.copy();
       t.greeting[x] = s.now;
+      t.greetingOf[x] = s.leaderEpoch;
       steps.add(new Search.Step<>("L greets " + name, t));
     }
     if (s.greeting[x] != NONE) {
       State t = s.copy();
       t.greeting[x] = NONE;
       boolean free =
-          w == Without.BINDING || s.bound[x] == NONE || s.knownRevision[x] > s.bound[x];
+          (w == Without.BINDING || s.bound[x] == NONE || s.knownRevision[x] > s.bound[x])
+              && (!epochs || s.greetingOf[x] == s.known[x]);
       if (free) {
         t.bound[x] = NONE;
         t.promised[x] = s.now;
         t.ack[x] = s.greeting[x];
+        t.ackOf[x] = s.greetingOf[x];
       }
       steps.add(new Search.Step<>(name + (free ? " promises" : " promises nothing"), t));
     }
-    if (s.ack[x] != NONE) {
+    if (s.ack[x] != NONE && s.leaderEpoch != 0) {
       State t = s.copy();
-      t.asked[x] = Math.max(s.asked[x], w == Without.T0 ? s.now : s.ack[x]);
+      if (!epochs || s.ackOf[x] == s.leaderEpoch) {
+        t.asked[x] = Math.max(s.asked[x], w == Without.T0 ? s.now : s.ack[x]);
+      }
       t.ack[x] = NONE;
       steps.add(new Search.Step<>("L hears " + name + "'s promise", t));
     }
-    if (s.knownRevision[x] != s.revision) {
+    if (s.knownRevision[x] != s.revision || s.known[x] != s.epoch) {
       State t = s.copy();
-      t.knownRevision[x] = s.revision;
-      t.knownWord[x] = s.word;
-      steps.add(new Search.Step<>(name + " reads the word", t));
+      reads(t, x);
+      steps.add(new Search.Step<>(name + " reads the state", t));
     }
     if (s.restarts == 0) {
       State t = s.copy();
       t.restarts = 1;
       t.promised[x] = NONE;
       t.agreed[x] = NONE;
-      t.knownRevision[x] = s.revision;
-      t.knownWord[x] = s.word;
+      reads(t, x);
       t.bound[x] = w == Without.BORN_BOUND ? NONE : s.revision;
       t.agreesFrom[x] = w == Without.BORN_LATE ? s.now : s.now + PROMISE;
       steps.add(new Search.Step<>(name + " restarts", t));
@@ -182,43 +211,81 @@
     // x asks the other, which agrees; its answer may be used at any later time.
     if (s.agreed[x] == NONE
         && maySuspect(s, other)
-        && s.knownWord[x] == 0
-        && s.knownWord[other] == 0
+        && (!epochs || s.known[x] == s.known[other])
+        && s.knownWord[x] != s.known[x]
+        && s.knownWord[other] != s.known[other]
         && s.knownRevision[other] <= s.knownRevision[x]) {
       State t = s.copy();
       t.agreed[x] = s.knownRevision[x];
+      t.agreedOf[x] = s.known[x];
       t.bound[other] = Math.max(s.bound[other], s.knownRevision[x]);
       steps.add(new Search.Step<>((other == 0 ? "F" : "G") + " agrees with " + name, t));
     }
-    boolean enough =
-        w == Without.MAJORITY
-            ? s.knownWord[x] == 0
-            : s.agreed[x] != NONE && s.agreed[x] == s.knownRevision[x] && s.knownWord[x] == 0;
-    if (s.takeover[x] == NONE && enough && maySuspect(s, x)) {
+    boolean agreed =
+        s.agreed[x] != NONE
+            && s.agreed[x] == s.knownRevision[x]
+            && (!epochs || s.agreedOf[x] == s.known[x]);
+    if (s.takeover[x] == NONE
+        && (agreed || w == Without.MAJORITY)
+        && s.knownWord[x] != s.known[x]
+        && maySuspect(s, x)) {
       State t = s.copy();
       t.takeover[x] = s.knownRevision[x];
+      t.takeoverOf[x] = s.known[x];
       t.bound[x] = Math.max(s.bound[x], s.knownRevision[x]);
       steps.add(new Search.Step<>(name + " sends its takeover", t));
     }
     if (s.takeover[x] != NONE
-        && s.epoch == 1
+        && s.epoch == s.takeoverOf[x]
         && (w == Without.CONDITION || s.takeover[x] == s.revision)) {
       State t = s.copy();
-      t.epoch = 2;
+      t.epoch++;
+      t.takeover[x] = NONE;
       steps.add(new Search.Step<>(name + "'s takeover is applied", t));
     }
   }
 
+  private static void reads(State t, int x) {
+    t.knownRevision[x] = t.revision;
+    t.knownWord[x] = t.word;
+    if (t.known[x] != t.epoch) {
+      t.known[x] = t.epoch;
+      t.promised[x] = NONE;
+      t.bound[x] = NONE;
+      t.agreesFrom[x] = t.now + PROMISE;
+    }
+  }
+
   private static boolean maySuspect(State s, int x) {
     return s.now >= s.agreesFrom[x] && (s.promised[x] == NONE || s.now >= s.promised[x] + PROMISE);
   }
 
+  /** The leader ends and is back in the next step, its messages under way; it may lead again. */
+  private static void leader(State s, List<Search.Step<State>> steps) {
+    if (s.leaderRestarts == 0 && s.leaderEpoch == 1) {
+      State t = s.copy();
+      t.leaderRestarts = 1;
+      t.leaderEpoch = 0;
+      t.asked = new int[] {NONE, NONE};
+      t.alone = 0;
+      steps.add(new Search.Step<>("L restarts", t));
+    }
+    if (s.leaderEpoch == 0 && s.epoch == 1) {
+      State t = s.copy();
+      t.epoch = 2;
+      t.leaderEpoch = 2;
+      t.leaderRevision = s.revision;
+      steps.add(new Search.Step<>("L leads again", t));
+    }
+  }
+
   private static void words(State s, Without w, List<Search.Step<State>> steps) {
-    if (s.words < MOST_WORDS) {
+    if (s.words < MOST_WORDS && s.leaderEpoch != 0) {
       for (int on = 0; on < 2; on++) {
         State t = s.copy();
         t.sentOn[s.words] = on;
         t.sentCondition[s.words] = s.leaderRevision;
+        t.wordOf[s.words] = s.leaderEpoch;
         t.words++;
         t.alone = 0;
         steps.add(new Search.Step<>("L sends the word " + (on == 1 ? "on" : "off"), t));
@@ -227,7 +294,7 @@
     for (int i = 0; i < s.words; i++) {
       boolean applies =
           s.sentCondition[i] != NONE
-              && s.epoch == 1
+              && s.epoch == s.wordOf[i]
               && (w == Without.CHAIN || s.sentCondition[i] == s.revision);
       if (!applies) {
         continue;
@@ -235,16 +302,17 @@
       State t = s.copy();
       t.sentCondition[i] = NONE;
       t.revision++;
-      t.word = s.sentOn[i];
-      steps.add(new Search.Step<>("the word " + (t.word == 1 ? "on" : "off") + " is applied, unanswered", t));
-      if (i == s.words - 1) {
+      t.word = s.sentOn[i] == 1 ? s.wordOf[i] : 0;
+      String what = "the word " + (s.sentOn[i] == 1 ? "on" : "off") + " is applied";
+      steps.add(new Search.Step<>(what + ", unanswered", t));
+      if (i == s.words - 1 && s.wordOf[i] == s.leaderEpoch) {
         State heard = t.copy();
-        heard.alone = t.word;
+        heard.alone = s.sentOn[i];
         heard.leaderRevision = t.revision;
-        steps.add(new Search.Step<>("the word " + (t.word == 1 ? "on" : "off") + " is applied", heard));
+        steps.add(new Search.Step<>(what, heard));
       }
     }
-    if (s.leaderRevision != s.revision) {
+    if (s.leaderEpoch != 0 && s.leaderRevision != s.revision) {
       State t = s.copy();
       t.leaderRevision = s.revision;
       steps.add(new Search.Step<>("L reads the word", t));
@@ -253,7 +321,7 @@
 
   /** The shortest way to two that may start, if there is one. */
   private static Search.Result search(Without w) {
-    return new Search<State>(State::key, s -> steps(s, w), s -> s.epoch == 2 && s.mayStart())
+    return new Search<State>(State::key, s -> steps(s, w), s -> s.epoch > s.leaderEpoch && s.mayStart())
         .run(new State(), DEPTH);
   }
 
