Machines that come late or never: boots learnt by type, given back when overtaken, asked for again

A machine that never came up stood in the way of another for 240 s (five boots and 20 s, begun anew by each leader). Ruled out: the cloud's rate (1 request a second of 3), spot prices, the list's age. Change: a return makes the pause after a refusal void for that kind. Boots are timed by type; a machine that is late while others asked for with it or later are up is given back early, replaced when late unless most are late, and its age runs on over changes of leader. A process that stood still judges nobody until it has listened (net/Wake, shared).

--- a/src/main/java/fennelthread/Constants.java
+++ b/src/main/java/fennelthread/Constants.java
@@ -177,6 +177,15 @@
    */
   public static final double SILENT_SHARE = 0.4;
 
+  /** How often a process looks whether it stood still, ms. */
+  public static final long WAKE_LOOK_MS = 250;
+
+  /** Looks that are so far apart tell that it did, ms: a busy moment delays timers by less. */
+  public static final long WAKE_LATE_MS = 1_250;
+
+  /** Longest time for which it then only listens, ms: whoever is silent for longer is. */
+  public static final long WAKE_LISTEN_MOST_MS = 10_000;
+
   /** How often controllers greet one another, ms. */
   public static final long HAIL_MS = 700;
 
@@ -442,8 +451,41 @@
   /** A machine not up after this many times its nominal boot time is returned. */
   public static final double BOOT_PATIENCE = 5;
 
-  /** Added to that patience, ms. */
-  public static final long BOOT_PATIENCE_MS = 20_000;
+  /** Added to that patience, s. */
+  public static final double BOOT_PATIENCE_S = 20;
+
+  /** Least such patience, s: now and then none of the new machines comes up for two minutes, then all. */
+  public static final double BOOT_PATIENCE_LEAST_S = 150;
+
+  /** Taken for the boot time of a type that is not known, s. */
+  public static final double BOOT_UNKNOWN_S = 60;
+
+  /** How many boots of a type are remembered. */
+  public static final int BOOTS_REMEMBERED = 32;
+
+  /** Nearly all of them: the rest may be slow by themselves, as a share. */
+  public static final double BOOTS_NEARLY_ALL = 0.875;
+
+  /** A machine is late after so many times its nominal boot time: the cloud says 1.5 at the most as a rule. */
+  public static final double BOOT_LATE = 1.6;
+
+  /** And after so many times what nearly all of its type took lately. */
+  public static final double BOOT_SLOWER = 1.3;
+
+  /** A late machine is given back early from so many times its nominal boot time on. */
+  public static final double BOOT_DUD = 2;
+
+  /** If so many of its type that were asked for with it or later are up. */
+  public static final int BOOT_OVERTAKEN = 3;
+
+  /** The same if the cloud has no other for us: then it costs the room of one that would come. */
+  public static final int BOOT_OVERTAKEN_SCARCE = 1;
+
+  /** Late machines are not replaced if they are more than this share of what boots: then all are late. */
+  public static final double BOOT_LATE_SHARE = 0.5;
+
+  /** How long a machine that a predecessor asked for has to report to us at least, in leases. */
+  public static final double BOOT_HEARD_LEASES = 1;
 
   /** A machine silent this long beyond its lease is returned, ms. */
   public static final long LOST_PATIENCE_MS = 1_000;
@@ -466,6 +508,42 @@
   /** Longest such pause, ms. */
   public static final long TASK_PAUSE_MOST_MS = 60_000;
 
+  /**
+   * A job that has waited for so long with nothing at work is given its first task before all others, ms. Users
+   * count on four minutes; room for a task as large as a machine takes up to two of them to come free.
+   */
+  public static final long BEGIN_AFTER_MS = 90_000;
+
+  /** Part of the fleet's CPUs on which first tasks of such jobs run out of turn; one always may. */
+  public static final double TURNS_SHARE = 0.05;
+
+  /** Such a task is stopped for nobody for so long at least, s: a start counts that lasts for 30. */
+  public static final double KEPT_LEAST_S = 60;
+
+  /** And for so many times what it is expected to take. */
+  public static final double KEPT_TIMES = 2;
+
+  /**
+   * From this age on a job's work counts for less when small goes before large, ms. Sooner, backlogs of half a
+   * minute would be worked off from their old end, and one build in a hundred more is late.
+   */
+  public static final long WORK_AGES_AFTER_MS = 60_000;
+
+  /** For each such while beyond that it counts half, ms. */
+  public static final double WORK_HALVED_MS = 60_000;
+
+  /** Part of the machines that may be kept free for tasks that nothing else makes room for. */
+  public static final double HOLDS_SHARE = 0.05;
+
+  /** How long a task waits for room that comes free by itself before others are stopped for it, s. */
+  public static final double PATIENCE_S = 5;
+
+  /** The same of classes for which a time to the start is set, s: about what stopping takes. */
+  public static final double PATIENCE_SHORT_S = 0.5;
+
+  /** Least part of its time that a task is thought to run on, however long it has run. */
+  public static final double RUN_LEFT_LEAST = 0.25;
+
   /** A job late by this many times the last time set for it no longer stands back for others. */
   public static final double LATE_PATIENCE = 3;
 
--- a/src/main/java/fennelthread/Controller.java
+++ b/src/main/java/fennelthread/Controller.java
@@ -18,6 +18,7 @@
 import fennelthread.net.Call;
 import fennelthread.net.Host;
 import fennelthread.net.Service;
+import fennelthread.net.Wake;
 import fennelthread.relay.Courier;
 import fennelthread.relay.Hearing;
 import fennelthread.relay.Leader;
@@ -74,6 +75,7 @@
   private final Membership membership;
   private final Keeper keeper;
   private final Zones zones;
+  private final Wake wake;
   private Term term;
   private Term resigned;
   private long ledSince;
@@ -138,6 +140,7 @@
             host, settings, mesh, withdrawals, replica, lease::isLeading, lease::epoch,
             lease::highestEpoch);
     this.zones = new Zones(settings);
+    this.wake = new Wake(host);
     mesh.serve("/relay/", courier.service(this::relayed));
     this.api =
         new Api(
@@ -157,6 +160,7 @@
     log.info("{} starts, incarnation {}", settings.member(), incarnation);
     replica.start();
     replica.onAdvance(this::loaded);
+    wake.start();
     mesh.start();
     membership.start();
     readFlavors();
@@ -286,6 +290,7 @@
             () -> othersSilentSince(epoch),
             courier,
             zones,
+            wake,
             withdrawals::isOver,
             new LinkedHashMap<>(addresses));
     mesh.greetAll();
--- /dev/null
+++ b/src/main/java/fennelthread/fleet/Boots.java
@@ -0,0 +1,71 @@
+package fennelthread.fleet;
+
+import fennelthread.Constants;
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * How long machines of each type take to come up, learnt from those that did. Some take several times as long as
+ * the others and some never come; on some days all are late, and on some they are there within a second or two.
+ * A machine is told from its like by what came of those that were asked for with it or after it: on a day on which
+ * all are late, to give them back would only begin the wait anew. Pure: time is told.
+ */
+final class Boots {
+  private record Boot(long askedMs, double tookS) {}
+
+  private final Map<String, ArrayDeque<Boot>> byType = new HashMap<>();
+
+  /** A machine that was asked for at {@code askedMs} reports for the first time. */
+  void came(String type, long askedMs, long nowMs) {
+    ArrayDeque<Boot> boots = byType.computeIfAbsent(type, k -> new ArrayDeque<>());
+    boots.add(new Boot(askedMs, (nowMs - askedMs) / 1000.0));
+    if (boots.size() > Constants.BOOTS_REMEMBERED) {
+      boots.poll();
+    }
+  }
+
+  /**
+   * True if a machine that is not up yet takes longer than nearly all do: another may be asked for in its place.
+   *
+   * @param nominalS what the cloud says that its type takes, s
+   */
+  boolean isLate(String type, double nominalS, long askedMs, long nowMs) {
+    double ageS = (nowMs - askedMs) / 1000.0;
+    return ageS > nominalS * Constants.BOOT_LATE && ageS > usuallyS(type) * Constants.BOOT_SLOWER;
+  }
+
+  /**
+   * True if it is to be given back: when several that were asked for with it or later are up, one if there are no
+   * others to be had, or when it has had the longest time that is given to any.
+   *
+   * @param scarce whether the cloud has no more of its kind, so that it stands in another's place
+   */
+  boolean isDud(String type, double nominalS, long askedMs, long nowMs, boolean scarce) {
+    double ageS = (nowMs - askedMs) / 1000.0;
+    if (ageS > Math.max(
+        Constants.BOOT_PATIENCE_LEAST_S,
+        nominalS * Constants.BOOT_PATIENCE + Constants.BOOT_PATIENCE_S)) {
+      return true;
+    }
+    return isLate(type, nominalS, askedMs, nowMs)
+        && ageS > nominalS * Constants.BOOT_DUD
+        && overtakenBy(type, askedMs)
+            >= (scarce ? Constants.BOOT_OVERTAKEN_SCARCE : Constants.BOOT_OVERTAKEN);
+  }
+
+  /** What nearly all of those took that came up lately, s: an eighth of them may have taken longer. */
+  private double usuallyS(String type) {
+    double[] took =
+        byType.getOrDefault(type, new ArrayDeque<>(0)).stream().mapToDouble(Boot::tookS).sorted().toArray();
+    return took.length == 0 ? 0 : took[(int) ((took.length - 1) * Constants.BOOTS_NEARLY_ALL)];
+  }
+
+  private int overtakenBy(String type, long askedMs) {
+    int later = 0;
+    for (Boot b : byType.getOrDefault(type, new ArrayDeque<>(0))) {
+      later += b.askedMs >= askedMs ? 1 : 0;
+    }
+    return later;
+  }
+}
--- a/src/main/java/fennelthread/fleet/Fleet.java
+++ b/src/main/java/fennelthread/fleet/Fleet.java
@@ -5,6 +5,7 @@
 import fennelthread.net.Answer;
 import fennelthread.net.Call;
 import fennelthread.net.Host;
+import fennelthread.net.Wake;
 import fennelthread.settings.Settings;
 import fennelthread.wire.Beat;
 import fennelthread.wire.Codec;
@@ -73,6 +74,7 @@
   private final Supplier<Map<String, Flavor>> flavors;
   private final Paths paths;
   private final ZoneWatch zones;
+  private final Wake wake;
   private final Tally tally;
   private final Set<Machine> carriers = new LinkedHashSet<>();
   private final Map<String, Machine> machines = new LinkedHashMap<>();
@@ -89,6 +91,7 @@
    *     {@code Long.MAX_VALUE} while one still could
    * @param paths how workers are reached
    * @param zones what is thought of the zones
+   * @param wake whether we heard what was said
    */
   public Fleet(
       Host host,
@@ -98,8 +101,10 @@
       LongSupplier othersSilentSince,
       Supplier<Map<String, Flavor>> flavors,
       Paths paths,
-      ZoneWatch zones) {
+      ZoneWatch zones,
+      Wake wake) {
     this.zones = zones;
+    this.wake = wake;
     this.host = host;
     this.settings = settings;
     this.epoch = epoch;
@@ -463,8 +468,9 @@
   }
 
   private boolean isQuiet(Machine m) {
-    return host.nowMs() - m.heardAtMs()
-        > settings.workers().reportMs() * Constants.SILENT_REPORTS_ALARM;
+    return !wake.isListening()
+        && host.nowMs() - m.heardAtMs()
+            > settings.workers().reportMs() * Constants.SILENT_REPORTS_ALARM;
   }
 
   private void sendProbe(Machine m) {
--- a/src/main/java/fennelthread/fleet/Rentals.java
+++ b/src/main/java/fennelthread/fleet/Rentals.java
@@ -2,6 +2,7 @@
 
 import fennelthread.Constants;
 import fennelthread.net.Host;
+import fennelthread.net.Wake;
 import fennelthread.plan.Plan;
 import fennelthread.settings.Options;
 import fennelthread.settings.Settings;
@@ -30,7 +31,14 @@
 
   private record Kind(String type, String zone, boolean spot) {}
 
-  private record Booting(Kind kind, long sinceMs) {}
+  /**
+   * A machine that is not up yet.
+   *
+   * @param askedMs when it was asked for, as far as is known, ms
+   * @param knownMs when this term first knew of it, ms
+   * @param ours whether this term asked for it, so that its boot can be timed
+   */
+  private record Booting(Kind kind, long askedMs, long knownMs, boolean ours) {}
 
   private final Host host;
   private final Settings settings;
@@ -38,7 +46,9 @@
   private final Cloud cloud;
   private final Fleet fleet;
   private final ZoneWatch zones;
+  private final Wake wake;
   private final Tally tally;
+  private final Boots boots = new Boots();
   private final String prefix;
   private final Consumer<List<Flavor>> onFlavors;
   private final Map<String, Booting> booting = new LinkedHashMap<>();
@@ -64,6 +74,7 @@
       Cloud cloud,
       Fleet fleet,
       ZoneWatch zones,
+      Wake wake,
       String prefix,
       Map<String, Flavor> flavors,
       Consumer<List<Flavor>> onFlavors) {
@@ -73,6 +84,7 @@
     this.cloud = cloud;
     this.fleet = fleet;
     this.zones = zones;
+    this.wake = wake;
     this.tally = new Tally(host, log::info);
     this.prefix = prefix;
     this.flavors = flavors;
@@ -139,11 +151,13 @@
     if (e.state().equals(HostEntry.FAILED)) {
       m.setListedFailed();
     } else if (m.phase() == Machine.Phase.UNHEARD && !booting.containsKey(e.name())) {
-      // Rented by a predecessor, or by a request of ours that was executed late. Its patience begins
-      // now and not with its age: after a takeover most of an old fleet is listed before it is heard,
-      // and a new leader once returned 62 machines with their tasks, a second after its claim.
-      booting.put(
-          e.name(), new Booting(new Kind(e.type(), e.zone(), e.spot()), host.nowMs()));
+      // Rented by a predecessor, or by a request of ours that was executed late. What is listed as up has
+      // all the time to report to us: after a takeover most of an old fleet is listed before it is heard,
+      // and a new leader once returned 62 machines with their tasks, a second after its claim. What is
+      // listed as starting goes on from its age, or each change of leader would put its end off anew.
+      long now = host.nowMs();
+      long askedMs = e.state().equals(HostEntry.STARTING) ? now - (long) (e.ageS() * 1000) : now;
+      booting.put(e.name(), new Booting(new Kind(e.type(), e.zone(), e.spot()), askedMs, now, false));
     }
   }
 
@@ -166,8 +180,10 @@
     }
     long now = host.nowMs();
     for (Machine m : fleet.machines()) {
-      if (m.phase() != Machine.Phase.UNHEARD) {
-        booting.remove(m.name());
+      boolean up = m.phase() == Machine.Phase.REPORTING || m.phase() == Machine.Phase.LOST;
+      Booting b = up ? booting.remove(m.name()) : null;
+      if (b != null && b.ours) {
+        boots.came(b.kind.type, b.askedMs, now);
       }
     }
     returnSilent(now);
@@ -183,7 +199,7 @@
    * the fault is probably ours, or their zone's, where a controller may be keeping their tasks alive.
    */
   private void returnSilent(long now) {
-    if (cloud.isQuiet()) {
+    if (cloud.isQuiet() || wake.isListening()) {
       return;
     }
     List<Machine> silent = new ArrayList<>();
@@ -238,16 +254,56 @@
         giveBack(m, lost ? "lost" : failed ? "failed" : noticeOver ? "taken" : drained ? "drained" : "idle");
       }
     }
-    for (Map.Entry<String, Booting> e : List.copyOf(booting.entrySet())) {
-      Flavor f = flavors.get(e.getValue().kind.type);
-      double boot = f == null ? 60 : f.bootS();
-      if (now - e.getValue().sinceMs
-          > boot * 1000 * Constants.BOOT_PATIENCE + Constants.BOOT_PATIENCE_MS) {
-        booting.remove(e.getKey());
-        giveBack(fleet.learn(e.getKey(), null), "never came up");
+    returnDuds(now);
+    sendReturns();
+  }
+
+  private void returnDuds(long now) {
+    if (cloud.isQuiet() || wake.isListening()) {
+      // Machines may have come up while we stood still, and their reports wait to be read.
+      return;
+    }
+    long heardMs = (long) (settings.workers().leaseMs() * Constants.BOOT_HEARD_LEASES);
+    booting.forEach(
+        (name, b) -> {
+          Machine m = fleet.learn(name, null);
+          boolean waits = m.phase() == Machine.Phase.UNHEARD && now - b.knownMs > heardMs;
+          if (waits && boots.isDud(b.kind.type, bootS(b.kind), b.askedMs, now, isRefused(b.kind, now))) {
+            early.add(name);
+            giveBack(m, "never came up");
+          }
+        });
+  }
+
+  private double bootS(Kind kind) {
+    Flavor f = flavors.get(kind.type);
+    return f == null ? Constants.BOOT_UNKNOWN_S : f.bootS();
+  }
+
+  private boolean isRefused(Kind kind, long now) {
+    return refusedUntil.getOrDefault(kind, 0L) > now;
+  }
+
+  /**
+   * The machines that may be counted on though they are not up: not those that are late, unless most are, since
+   * then it is the cloud that is slow and others would be as late.
+   */
+  private Set<String> coming(long now) {
+    Set<String> coming = new HashSet<>();
+    int late = 0;
+    for (Map.Entry<String, Booting> e : booting.entrySet()) {
+      Booting b = e.getValue();
+      Machine m = fleet.get(e.getKey());
+      if (m != null && m.phase() != Machine.Phase.UNHEARD) {
+        continue;
+      }
+      if (boots.isLate(b.kind.type, bootS(b.kind), b.askedMs, now)) {
+        late++;
+      } else {
+        coming.add(e.getKey());
       }
     }
-    sendReturns();
+    return late > (late + coming.size()) * Constants.BOOT_LATE_SHARE ? booting.keySet() : coming;
   }
 
   private void giveBack(Machine m, String why) {
@@ -282,9 +338,13 @@
           }
           early.removeAll(names);
           for (String name : names) {
+            Machine m = fleet.get(name);
             returning.remove(name);
             booting.remove(name);
-            fleet.returned(fleet.get(name));
+            fleet.returned(m);
+            // What we gave up others may take, and we are those others: after a refusal we once waited for 40 s
+            // while ten machines of a fleet of forty were to be had again.
+            refusedUntil.remove(new Kind(m.type(), m.zone(), m.spot()));
           }
         });
   }
@@ -296,6 +356,7 @@
     double have = 0;
     int count = 0;
     Map<String, Double> byZone = new HashMap<>();
+    Set<String> coming = coming(now);
     for (Machine m : fleet.machines()) {
       boolean counts =
           m.phase() == Machine.Phase.REPORTING && !m.isDraining() && m.noticeUntilMs() < 0;
@@ -303,7 +364,7 @@
         count++;
       }
       Flavor f = flavors.get(m.type());
-      if (f != null && (counts || booting.containsKey(m.name()))) {
+      if (f != null && (counts || coming.contains(m.name()))) {
         double there = f.cpus() * zones.presence(m, now);
         have += there;
         byZone.merge(String.valueOf(m.zone()), there, Double::sum);
@@ -328,8 +389,8 @@
       }
     }
     double bootingCpus = 0;
-    for (Booting b : booting.values()) {
-      Flavor f = flavors.get(b.kind.type);
+    for (String name : coming) {
+      Flavor f = flavors.get(booting.get(name).kind.type);
       bootingCpus += f == null ? 0 : f.cpus();
     }
     missing = Math.max(missing, waiting - bootingCpus);
@@ -349,7 +410,7 @@
       }
     }
     for (Kind kind : kinds) {
-      if (refusedUntil.getOrDefault(kind, 0L) > now) {
+      if (isRefused(kind, now)) {
         continue;
       }
       Flavor f = flavors.get(kind.type);
@@ -388,7 +449,7 @@
               Machine m = fleet.learn(name, null);
               fleet.describe(m, kind.type, kind.zone, kind.spot);
               if (m.phase() == Machine.Phase.UNHEARD) {
-                booting.put(name, new Booting(kind, now));
+                booting.put(name, new Booting(kind, now, now, true));
               }
             }
             refusedPause.remove(kind);
--- a/src/main/java/fennelthread/lab/CloudStandIn.java
+++ b/src/main/java/fennelthread/lab/CloudStandIn.java
@@ -14,6 +14,8 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.function.Consumer;
+import java.util.function.IntSupplier;
+import java.util.function.LongSupplier;
 
 /** The cloud as its protocol describes it: lists are late, some machines never come up. */
 final class CloudStandIn implements Service {
@@ -48,9 +50,24 @@
       left.put("torre" + zone + false, deployment.big());
       left.put("torre" + zone + true, deployment.big() / 2);
     }
+    bootMs =
+        () -> {
+          double chance = world.random.nextDouble();
+          return chance < 0.05 ? -1 : chance < 0.2 ? 200 : 4_000 + world.random.nextInt(9_000);
+        };
+    listAge = () -> 2 + world.random.nextInt(5);
     snapshot();
   }
 
+  /** How long the next machine takes to come up, ms; less than 0 if it never does. */
+  LongSupplier bootMs;
+
+  /** How many half seconds the next list is late. */
+  IntSupplier listAge;
+
+  /** How many machines were rented since the start of the day, by type. */
+  final Map<String, Integer> rented = new HashMap<>();
+
   /** The machines that controllers have returned. */
   final List<String> returned = new ArrayList<>();
 
@@ -104,7 +121,7 @@
               .map());
     }
     snapshots.add(list);
-    if (snapshots.size() > 20) {
+    if (snapshots.size() > 60) {
       snapshots.remove(0);
     }
     world.after(500, this::snapshot);
@@ -121,7 +138,7 @@
       if (path.equals("/flavors")) {
         reply.accept(Answer.of(200, Codec.CBOR, Flavor.writeAll(flavors)));
       } else if (path.startsWith("/hosts?")) {
-        int age = 2 + world.random.nextInt(5);
+        int age = listAge.getAsInt();
         List<Object> old = snapshots.get(Math.max(0, snapshots.size() - age));
         reply.accept(
             Answer.of(200, Codec.CBOR, Fields.create().with("equipos", old).with("more", false)));
@@ -153,12 +170,14 @@
         return;
       }
       left.merge(kind, -many, Integer::sum);
+      rented.merge(body.text("modelo"), many, Integer::sum);
       known = new ArrayList<>();
       for (int i = 0; i < many; i++) {
-        double chance = world.random.nextDouble();
-        long boot = chance < 0.05 ? -1 : chance < 0.2 ? 200 : 4_000 + world.random.nextInt(9_000);
         known.add(
-            rent(body.text("modelo"), body.text("zona"), body.optFlag("prestadas"), boot).name());
+            rent(
+                    body.text("modelo"), body.text("zona"), body.optFlag("prestadas"),
+                    bootMs.getAsLong())
+                .name());
       }
       requests.put(name, known);
     }
--- a/src/main/java/fennelthread/lead/Term.java
+++ b/src/main/java/fennelthread/lead/Term.java
@@ -14,6 +14,7 @@
 import fennelthread.jobs.RoundRecord;
 import fennelthread.net.Answer;
 import fennelthread.net.Host;
+import fennelthread.net.Wake;
 import fennelthread.settings.Options;
 import fennelthread.settings.Settings;
 import fennelthread.state.Replica;
@@ -86,6 +87,7 @@
       LongSupplier othersSilentSince,
       Fleet.Paths paths,
       ZoneWatch zones,
+      Wake wake,
       Predicate<String> over,
       Map<String, String> addresses) {
     this.host = host;
@@ -94,7 +96,7 @@
     this.store = store;
     this.lease = lease;
     this.epoch = lease.epoch();
-    this.fleet = new Fleet(host, settings, epoch, this, othersSilentSince, flavors, paths, zones);
+    this.fleet = new Fleet(host, settings, epoch, this, othersSilentSince, flavors, paths, zones, wake);
     this.rentals =
         new Rentals(
             host,
@@ -103,6 +105,7 @@
             cloud,
             fleet,
             zones,
+            wake,
             "r-" + epoch + "-" + settings.member(),
             flavors.get(),
             onFlavors);
--- a/src/test/java/fennelthread/lab/CarriedStartsTest.java
+++ b/src/test/java/fennelthread/lab/CarriedStartsTest.java
@@ -8,6 +8,7 @@
 import fennelthread.fleet.Machine;
 import fennelthread.fleet.ZoneWatch;
 import fennelthread.jobs.RoundRecord;
+import fennelthread.net.Wake;
 import fennelthread.wire.Beat;
 import fennelthread.wire.JobSpec;
 import fennelthread.wire.Order;
@@ -21,11 +22,12 @@
 /** A start that rides on the answer to a report, step by step. */
 class CarriedStartsTest {
   private final World world = new World(1);
+  private final World.Process host = world.new Process("nodo");
   private final List<Attempt> ended = new ArrayList<>();
   private boolean mayStart = true;
   private final Fleet fleet =
       new Fleet(
-          world.new Process("nodo"),
+          host,
           Cluster.large(1, 20).settings,
           1,
           new Fleet.Listener() {
@@ -61,7 +63,8 @@
           () -> Long.MAX_VALUE,
           Map::of,
           (machine, call, timeoutMs, done, unsent) -> unsent.over(false),
-          ZoneWatch.NONE);
+          ZoneWatch.NONE,
+          new Wake(host));
 
   private long seq;
 
