--- a/src/main/java/fennelthread/Constants.java
+++ b/src/main/java/fennelthread/Constants.java
@@ -158,6 +158,39 @@
   /** How often a term looks at leases, notices and what is due, ms. */
   public static final long TERM_TICK_MS = 250;
 
+  /** How long a worker waits for the answer to a report, ms: the protocol's time. */
+  public static final long WORKER_WAITS_MS = 4_000;
+
+  /** A report that comes so many intervals after the one before it may mean that answers are lost. */
+  public static final double DOUBT_REPORTS = 1.25;
+
+  /** Added to that, ms: the network's delays and ours. */
+  public static final long DOUBT_SLACK_MS = 1_000;
+
+  /** Shortest time between two questions to a machine whether it was started anew, ms. */
+  public static final long ASK_WHICH_MS = 2_000;
+
+  /** Clears that wait for a higher token are sent when there are so many of one machine. */
+  public static final int CLEARS_GATHERED = 4;
+
+  /**
+   * Or when so large a part of a lease has passed since its token rose for the last time: workers take a higher
+   * token for a reason to report at once no more often than that.
+   */
+  public static final double CLEARS_LEASE_SHARE = 0.5;
+
+  /** How many rises of a machine's session are remembered. */
+  public static final int RISES_REMEMBERED = 8;
+
+  /** Over how many leases they are counted. */
+  public static final long RISES_LEASES = 5;
+
+  /** A machine whose session rose so often meanwhile, once within the last lease, is no room. */
+  public static final int RISES_NO_ROOM = 2;
+
+  /** One whose session rose so often is given back. */
+  public static final int RISES_HOPELESS = 3;
+
   /** A worker that missed this many reports gets no new tasks until it is heard again. */
   public static final double SILENT_REPORTS = 2.5;
 
@@ -700,4 +733,13 @@
   public static final int LONGEST_ATTEMPT = 20;
 
   private Constants() {}
+
+  /** Within which a job's first task begins, ms: the operators' bound, which the lab holds days to. */
+  public static final long BEGUN_WITHIN_MS = 240_000;
+
+  /** Within which some question about a job is answered once nothing fails any more, ms, in the lab. */
+  public static final long ANSWERED_WITHIN_MS = 10_000;
+
+  /** The largest jobs of a class, as a share of them, in the lab. */
+  public static final double LARGEST_SHARE = 0.1;
 }
--- a/src/main/java/fennelthread/Controller.java
+++ b/src/main/java/fennelthread/Controller.java
@@ -1,6 +1,7 @@
 package fennelthread;
 
 import fennelthread.api.Api;
+import fennelthread.fleet.Arrivals;
 import fennelthread.fleet.Cloud;
 import fennelthread.handover.Handover;
 import fennelthread.health.HeapGuard;
@@ -77,6 +78,7 @@
   private final Keeper keeper;
   private final Zones zones;
   private final Wake wake;
+  private final Arrivals arrivals = new Arrivals();
   private Term term;
   private Term resigned;
   private long ledSince;
@@ -423,25 +425,30 @@
   }
 
   /** Answers a report if we lead, or led and nobody else has since; null otherwise. */
-  private Answer answerAsLeader(Beat beat) {
+  private Answer answerAsLeader(Beat beat, String by) {
     if (term != null && lease.isLeading() && lease.epoch() >= lease.highestEpoch()) {
-      return term.beat(beat);
+      return term.beat(beat, by);
     }
     if (resigned != null && resigned.epoch() < lease.highestEpoch()) {
       endResigned();
     }
     // Nobody has claimed since, as far as anyone has told us: nobody else can keep tasks alive.
-    return resigned == null ? null : resigned.beat(beat);
+    return resigned == null ? null : resigned.beat(beat, by);
   }
 
   /** Answers a report that a sibling passes on, which takes the epoch to be this. */
-  private Answer relayed(Beat beat, long epoch) {
+  private Answer relayed(Beat beat, long epoch, String from) {
     lease.heardOf(epoch);
-    return epoch == lease.epoch() ? answerAsLeader(beat) : null;
+    return epoch == lease.epoch() && !arrivals.isCopy(beat) ? answerAsLeader(beat, from) : null;
   }
 
   private void beat(Beat beat, Consumer<Answer> reply) {
-    Answer answer = answerAsLeader(beat);
+    if (arrivals.isCopy(beat)) {
+      // Nobody waits for its answer; whatever it says was true long ago.
+      reply.accept(Answer.of(421, Codec.CBOR, new Redirect(null).write()));
+      return;
+    }
+    Answer answer = answerAsLeader(beat, settings.member());
     if (answer != null) {
       hearing.heard(host.nowMs());
       courier.direct(beat.machine());
--- /dev/null
+++ b/src/main/java/fennelthread/fleet/Arrivals.java
@@ -0,0 +1,39 @@
+package fennelthread.fleet;
+
+import fennelthread.Constants;
+import fennelthread.wire.Beat;
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/**
+ * Which reports have come in before, whatever this controller does with them. A worker has one report under way at
+ * a time: once a later one has come, nobody waits for the answer to an earlier one, and one that comes a second
+ * time is a copy, seconds or leases old. Such a report is not answered, passed on, counted as heard, or learnt from.
+ *
+ * <p>A machine that was started anew under its old name counts from the first session and report again. Its worker
+ * has forgotten the tokens that it obeyed, so that a report under a lower token may be either; only an answer to a
+ * question that was put to it since tells ({@link Fleet}). One under a higher token is none of the old ones.
+ */
+public final class Arrivals {
+  private record Last(long session, long seq, long token) {}
+
+  private final Map<String, Last> last = new LinkedHashMap<>(64, 0.75f, true);
+
+  /** Takes note of a report; true if it, or a later one of the same machine, has come in before. */
+  public boolean isCopy(Beat beat) {
+    Last known = last.get(beat.machine());
+    if (known != null && beat.token() <= known.token && !isLater(beat, known)) {
+      return true;
+    }
+    last.put(beat.machine(), new Last(beat.session(), beat.seq(), beat.token()));
+    if (last.size() > Constants.KNOWN_ADDRESSES) {
+      last.remove(last.keySet().iterator().next());
+    }
+    return false;
+  }
+
+  private static boolean isLater(Beat beat, Last known) {
+    return beat.session() > known.session
+        || (beat.session() == known.session && beat.seq() > known.seq);
+  }
+}
--- a/src/main/java/fennelthread/fleet/Fleet.java
+++ b/src/main/java/fennelthread/fleet/Fleet.java
@@ -63,7 +63,12 @@
   public interface Paths {
     /** Sends a request to a worker, as {@link Host#call} says. */
     void send(
-        Machine machine, Call call, long timeoutMs, Consumer<Answer> done, Host.Unsent unsent);
+        Machine machine,
+        String address,
+        Call call,
+        long timeoutMs,
+        Consumer<Answer> done,
+        Host.Unsent unsent);
   }
 
   /** What lets answers to reports out. */
@@ -202,24 +207,43 @@
   public boolean isReady(Machine m) {
     return m.phase() == Machine.Phase.REPORTING
         && m.address() != null
-        && m.ackedToken() >= m.token(epoch)
+        && m.isConfirmed(epoch)
         && !m.isDraining()
         && m.noticeUntilMs() < 0
         && host.nowMs() - m.unreachableAtMs() > Constants.UNREACHABLE_PAUSE_MS
-        && host.nowMs() - m.heardAtMs()
+        && host.nowMs() - m.contactAtMs()
             <= settings.workers().reportMs() * Constants.SILENT_REPORTS
+        && !isLosingSessions(m)
         && zones.mayPlace(m);
   }
 
-  /** Answers a report; null if nobody may be answered now, or if another leads. */
-  public Answer beat(Beat beat) {
+  /** True if lease after lease ended there although it reports: what is started now would end like the rest. */
+  private boolean isLosingSessions(Machine m) {
+    long lease = settings.workers().leaseMs();
+    long now = host.nowMs();
+    return m.risesSince(now - lease) > 0
+        && m.risesSince(now - lease * Constants.RISES_LEASES) >= Constants.RISES_NO_ROOM;
+  }
+
+  /** True if that goes on: the machine hears nothing, and is of no use. */
+  boolean hearsNothing(Machine m) {
+    long window = settings.workers().leaseMs() * Constants.RISES_LEASES;
+    return m.risesSince(host.nowMs() - window) >= Constants.RISES_HOPELESS;
+  }
+
+  /**
+   * Answers a report that has not come in before; null if nobody may be answered now, or if another leads.
+   *
+   * @param by whom it came: a sibling's name, or ours
+   */
+  public Answer beat(Beat beat, String by) {
     if (!gate.isOpen()) {
       // Users may have been told of withdrawals that we know nothing of: those tasks must not live on.
       // A leader in a zone that was cut off for 75 s once kept them for all of it.
       return null;
     }
     long now = host.nowMs();
-    Machine m = learn(beat.machine(), beat.address());
+    Machine m = learn(beat.machine(), null);
     long beatEpoch = beat.token() >> Constants.TOKEN_BITS;
     if (beatEpoch > epoch) {
       listener.higherToken(beatEpoch);
@@ -233,12 +257,27 @@
     m.describe(beat.type(), beat.zone(), beat.spot());
     lastBeatAt = now;
     boolean newest = m.isNewer(beat);
+    // A report may be overtaken by the answer to a question that was put to its machine a moment later.
+    boolean overtaken =
+        beat.session() == m.session() && now - m.heardAtMs() < Constants.WORKER_WAITS_MS;
+    if (m.isOfAnotherLife(beat) && !overtaken) {
+      return askWhich(m, beat);
+    }
+    if (newest) {
+      doubtHearing(m, beat, by, now);
+    }
     take(m, beat);
+    if (isDeaf(m, now)) {
+      // All that could be said was said for more than a lease, and nothing of it was heard. An answer could not
+      // renew the worker's lease, and must not renew what we count of it.
+      return Answer.error(503, "answers do not arrive");
+    }
     m.answered(now);
+    m.answeredUnshown(epoch, now);
     if (newest) {
       doubtUnshown(m);
     }
-    List<Order> orders = m.ackedToken() >= 0 ? listener.ordersFor(m) : List.of();
+    List<Order> orders = m.ackedToken() >= 0 ? ordersFor(m) : List.of();
     if (carriers.contains(m)) {
       orders = new ArrayList<>(orders);
       orders.addAll(carried(m, newest));
@@ -246,6 +285,76 @@
     return gate.answer(beat, m.token(epoch), orders);
   }
 
+  /**
+   * A report that comes late, by another way, or in a later session tells that answers may not have arrived. The
+   * token is raised, and only a report that shows it tells that they do.
+   */
+  private void doubtHearing(Machine m, Beat beat, String by, long now) {
+    boolean elsewhere = m.cameBy(by);
+    boolean late =
+        now - m.heardAtMs()
+            > settings.workers().reportMs() * Constants.DOUBT_REPORTS + Constants.DOUBT_SLACK_MS;
+    boolean risen = beat.session() > m.session();
+    if (m.heardAtMs() >= 0
+        && m.isConfirmed(epoch)
+        && (elsewhere || risen || (late && !wake.isListening()))) {
+      m.raiseToken();
+    }
+  }
+
+  private boolean isDeaf(Machine m, long now) {
+    return !m.isConfirmed(epoch)
+        && m.unshownSinceMs() >= 0
+        && now - m.unshownSinceMs() > leaseAtMostMs();
+  }
+
+  /**
+   * A report under a lower token than the machine has shown: an old copy, or the first of a machine that was started
+   * anew and has forgotten everything. The machine itself tells which, under a token that is raised before: a start
+   * that is still on its way, or comes a second time, must not be carried out by the next life.
+   */
+  private Answer askWhich(Machine m, Beat beat) {
+    long now = host.nowMs();
+    if (!m.isProbing() && now - m.askedWhichAtMs() > Constants.ASK_WHICH_MS) {
+      m.askedWhich(now);
+      m.raiseToken();
+      sendProbe(m, beat.address(), beat.session());
+    }
+    return Answer.error(503, "tokens were forgotten");
+  }
+
+  /**
+   * What a worker is told of its tasks. Clears go out under a higher token than the starts of what they clear, and
+   * so are gathered: each rise has the worker report once more.
+   */
+  private List<Order> ordersFor(Machine m) {
+    List<Order> orders = listener.ordersFor(m);
+    int under = 0;
+    for (Order order : orders) {
+      under += isUnderToken(m, order) ? 1 : 0;
+    }
+    if (under == 0) {
+      return orders;
+    }
+    long now = host.nowMs();
+    if (under >= Constants.CLEARS_GATHERED
+        || now - m.clearedAtMs() >= settings.workers().leaseMs() * Constants.CLEARS_LEASE_SHARE) {
+      m.raiseForClears(now);
+      return orders;
+    }
+    List<Order> atOnce = new ArrayList<>(orders);
+    atOnce.removeIf(order -> isUnderToken(m, order));
+    return atOnce;
+  }
+
+  private boolean isUnderToken(Machine m, Order order) {
+    if (!(order instanceof Order.Clear clear)) {
+      return false;
+    }
+    Attempt a = m.find(clear.task(), clear.attempt());
+    return a != null && a.token() >= m.token(epoch);
+  }
+
   /**
    * Starts that an earlier answer held and this report does not show: whether that answer arrived,
    * nobody says. The token is raised, and the next report under it tells.
@@ -292,7 +401,9 @@
       return;
     }
     boolean laterSession = beat.session() > m.session() && m.session() > 0;
-    if (m.phase() == Machine.Phase.UNHEARD || m.phase() == Machine.Phase.LOST) {
+    m.setAddress(beat.address());
+    boolean ours = beat.token() >> Constants.TOKEN_BITS == epoch;
+    if (ours && (m.phase() == Machine.Phase.UNHEARD || m.phase() == Machine.Phase.LOST)) {
       m.moveTo(Machine.Phase.REPORTING);
       listener.changed();
     }
@@ -301,17 +412,18 @@
       // although we have known the machine for long and answered nothing yet.
       m.answered(host.nowMs());
     }
-    long ackedBefore = m.ackedToken();
-    List<Attempt> ended = m.apply(beat, host.nowMs(), task -> listener.describe(m, task));
+    boolean confirmedBefore = m.isConfirmed(epoch);
+    List<Attempt> ended =
+        m.apply(beat, epoch, host.nowMs(), task -> listener.describe(m, task));
     m.takeAdopted().forEach(listener::adopted);
     for (Attempt a : ended) {
       log.debug("{} is over ({}), by report {}/{} token {}", a, a.motive(), beat.session(), beat.seq(), beat.token());
       listener.ended(m, a);
     }
-    if (!ended.isEmpty() || laterSession || ackedBefore < m.token(epoch)) {
+    if (!ended.isEmpty() || laterSession || !confirmedBefore) {
       listener.changed();
     }
-    if (m.ackedToken() < m.token(epoch)) {
+    if (!m.isConfirmed(epoch)) {
       probe(m);
     }
   }
@@ -329,9 +441,11 @@
       orders.add(new Order.Run(a.start().task(), a.start().attempt()));
     }
     long session = attempts.get(0).start().session();
+    long seq = m.seq();
     log.debug("{}: starts {} under token {}", m.name(), orders, token);
     paths.send(
         m,
+        m.address(),
         Call.post("/commands", Codec.CBOR, Order.write(token, session, orders)),
         Constants.COMMAND_TIMEOUT_MS,
         answer -> {
@@ -360,7 +474,7 @@
             probe(m);
           }
           if (report != null) {
-            heardDirectly(m, report);
+            heardDirectly(m, report, session, seq);
           }
           listener.changed();
         },
@@ -431,18 +545,21 @@
     if (m.address() == null || m.session() == 0) {
       return;
     }
-    List<Order> orders = listener.ordersFor(m);
+    List<Order> orders = ordersFor(m);
     if (orders.isEmpty()) {
       return;
     }
+    long session = m.session();
+    long seq = m.seq();
     paths.send(
         m,
+        m.address(),
         Call.post("/commands", Codec.CBOR, Order.write(m.token(epoch), m.session(), orders)),
         Constants.COMMAND_TIMEOUT_MS,
         answer -> {
           Beat report = reportOf(answer);
           if (!closed && report != null) {
-            heardDirectly(m, report);
+            heardDirectly(m, report, session, seq);
           }
         },
         tried -> {});
@@ -478,41 +595,45 @@
         next = next == null ? m : next;
       }
       toProbe.remove(next);
-      boolean stale = next.ackedToken() < next.token(epoch) || isQuiet(next);
+      boolean stale = !next.isConfirmed(epoch) || isQuiet(next);
       if (canBeProbed(next) && stale) {
-        sendProbe(next);
+        sendProbe(next, next.address(), next.session());
       }
     }
   }
 
   private boolean isQuiet(Machine m) {
     return !wake.isListening()
-        && host.nowMs() - m.heardAtMs()
+        && host.nowMs() - m.contactAtMs()
             > settings.workers().reportMs() * Constants.SILENT_REPORTS_ALARM;
   }
 
-  private void sendProbe(Machine m) {
+  private void sendProbe(Machine m, String address, long inSession) {
     m.setProbing(true);
     probing++;
-    long sentAt = host.nowMs();
+    Question question = new Question(host.nowMs(), m.session(), m.seq());
     paths.send(
         m,
+        address,
         Call.post(
                 "/commands",
                 Codec.CBOR,
-                Order.write(m.token(epoch), Math.max(1, m.session()), List.of()))
+                Order.write(m.token(epoch), Math.max(1, inSession), List.of()))
             .asSpare(),
         Constants.PROBE_TIMEOUT_MS,
-        answer -> probed(m, sentAt, answer, true),
-        tried -> probed(m, sentAt, null, tried));
+        answer -> probed(m, question, answer, true),
+        tried -> probed(m, question, null, tried));
   }
 
-  private void probed(Machine m, long sentAt, Answer answer, boolean tried) {
+  /** A question to a worker, with the session and report of its that were known when it left. */
+  private record Question(long sentAtMs, long session, long seq) {}
+
+  private void probed(Machine m, Question question, Answer answer, boolean tried) {
     m.setProbing(false);
     probing--;
     if (answer == null && tried) {
       // Being short of sockets ourselves says nothing of the machine, which would be returned.
-      m.probeFailedSince(sentAt);
+      m.probeFailedSince(question.sentAtMs);
     }
     if (answer == null) {
       // Its worker reports by itself as soon as it can: asking on and on only costs connections.
@@ -520,12 +641,13 @@
     }
     Beat report = reportOf(answer);
     if (!closed && report != null) {
-      heardDirectly(m, report);
+      heardDirectly(m, report, question.session, question.seq);
     }
     probeNext();
   }
 
-  private void heardDirectly(Machine m, Beat report) {
+  /** A worker has answered what we put to it when this session and report of its were known. */
+  private void heardDirectly(Machine m, Beat report, long session, long seq) {
     if (!report.machine().equals(m.name())) {
       // The address belongs to another machine by now.
       return;
@@ -536,6 +658,12 @@
       return;
     }
     m.describe(report.type(), report.zone(), report.spot());
+    if (!Machine.isAfter(report, session, seq) && m.session() == session && m.seq() == seq) {
+      // Answered after what we knew, it would be later in the same life.
+      log.info("{} was started anew", m.name());
+      m.reborn();
+      m.raiseToken();
+    }
     take(m, report);
   }
 
@@ -563,26 +691,30 @@
       }
       if (silent != Long.MAX_VALUE) {
         long base = Math.max(m.answeredAtMs(), silent);
-        long lease =
-            (long) (settings.workers().leaseMs() * (1 + 2 * Constants.CLOCK_DRIFT))
-                + Constants.EXPIRY_MARGIN_MS;
-        if (now - base > lease && m.phase() != Machine.Phase.LOST) {
+        if (now - base > leaseAtMostMs() && m.phase() != Machine.Phase.LOST) {
           expire(m);
         }
       }
       // A machine that has never reported is mostly still booting: asking it only ties up sockets,
       // hundreds of them once, so that starts found no connection. Its worker reports by itself.
       boolean worthAsking = m.phase() == Machine.Phase.REPORTING || m.awaitsProof();
-      if (worthAsking && (m.ackedToken() < m.token(epoch) || isQuiet(m))) {
+      if (worthAsking && (!m.isConfirmed(epoch) || isQuiet(m))) {
         probe(m);
       }
     }
   }
 
+  /** A worker's lease as our clock may have to count it, ms. */
+  private long leaseAtMostMs() {
+    return (long) (settings.workers().leaseMs() * (1 + 2 * Constants.CLOCK_DRIFT))
+        + Constants.EXPIRY_MARGIN_MS;
+  }
+
   private void expire(Machine m) {
     boolean heard = m.phase() == Machine.Phase.REPORTING;
     if (heard) {
       m.moveTo(Machine.Phase.LOST);
+      m.raiseToken();
       tally.add("leases over", m.name(), 1);
     }
     m.forgetImages();
@@ -607,7 +739,7 @@
   public void keep(Machine m) {
     if (m.phase() == Machine.Phase.RETURNING) {
       m.undrain();
-      m.moveTo(m.heardAtMs() < 0 ? Machine.Phase.UNHEARD : Machine.Phase.REPORTING);
+      m.moveTo(m.contactAtMs() < 0 ? Machine.Phase.UNHEARD : Machine.Phase.REPORTING);
     }
   }
 
--- a/src/main/java/fennelthread/fleet/Machine.java
+++ b/src/main/java/fennelthread/fleet/Machine.java
@@ -5,8 +5,10 @@
 import fennelthread.wire.Beat;
 import fennelthread.wire.Flavor;
 import fennelthread.wire.TaskRef;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Deque;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -44,8 +46,15 @@
   private long session;
   private long seq;
   private long tokenCounter;
+  private long neededCounter;
+  private long clearedAtMs = Long.MIN_VALUE / 2;
   private long ackedToken = -1;
   private long heardAtMs = -1;
+  private long contactAtMs = -1;
+  private long unshownSinceMs = -1;
+  private long askedWhichAtMs = Long.MIN_VALUE / 2;
+  private String path;
+  private final Deque<Long> rises = new ArrayDeque<>();
   private long answeredAtMs;
   private long noticeUntilMs = -1;
   private boolean draining;
@@ -109,14 +118,41 @@
     return (epoch << Constants.TOKEN_BITS) + tokenCounter;
   }
 
+  /** From now on only a report under a higher token counts: whatever was said before may not have arrived. */
   void raiseToken() {
     tokenCounter++;
+    neededCounter = tokenCounter;
   }
 
-  /** Applies a report that is newer than all before; returns the attempts that it ends. */
-  List<Attempt> apply(Beat beat, long now, Function<Beat.Task, RoundRecord.Start> describe) {
+  /**
+   * Raises the token for clears. What was started under a lower one can't be started again by a command that
+   * comes a second time, which the worker would not know for one after the clear. Nothing has to be waited for.
+   */
+  void raiseForClears(long nowMs) {
+    tokenCounter++;
+    clearedAtMs = nowMs;
+  }
+
+  /** When the token was last raised for clears, ms. */
+  long clearedAtMs() {
+    return clearedAtMs;
+  }
+
+  /** True if the worker has shown the token that it must have seen for anything to be concluded or sent. */
+  boolean isConfirmed(long epoch) {
+    return ackedToken >= (epoch << Constants.TOKEN_BITS) + neededCounter;
+  }
+
+  /**
+   * Applies a report that is newer than all before; returns the attempts that it ends. Until the machine has
+   * shown a token of our own epoch what it reports may be as old as any late copy: what is on it counts, what is
+   * done is done, and nothing else follows.
+   */
+  List<Attempt> apply(
+      Beat beat, long epoch, long now, Function<Beat.Task, RoundRecord.Start> describe) {
     List<Attempt> ended = new ArrayList<>();
-    if (beat.session() > session) {
+    boolean ours = beat.token() >> Constants.TOKEN_BITS == epoch;
+    if (ours) {
       // A later session: the worker has killed and forgotten everything of earlier ones.
       for (Attempt a : List.copyOf(attempts.values())) {
         if (a.start().session() < beat.session()) {
@@ -124,10 +160,17 @@
         }
       }
     }
+    if (session > 0 && beat.session() > session) {
+      rises.add(now);
+    }
     session = beat.session();
     seq = beat.seq();
     ackedToken = beat.token();
     heardAtMs = now;
+    if (isConfirmed(epoch)) {
+      contactAtMs = now;
+      unshownSinceMs = -1;
+    }
     noticeUntilMs = beat.noticeS() == Beat.NO_NOTICE ? -1 : now + (long) (beat.noticeS() * 1000);
     reports++;
     for (Beat.Task t : beat.tasks()) {
@@ -142,7 +185,8 @@
         continue;
       }
       boolean wasEnded = a.phase() == Attempt.Phase.ENDED;
-      if (wasEnded && t.phase() != Beat.Phase.ENDED) {
+      boolean done = t.phase() == Beat.Phase.ENDED && t.motive() == Beat.Motive.DONE;
+      if ((wasEnded && t.phase() != Beat.Phase.ENDED) || !(ours || done)) {
         continue;
       }
       a.reported(t, now);
@@ -155,12 +199,12 @@
       if (a.isMarked(reports)) {
         continue;
       }
-      boolean inFlight =
+      // A start that is in flight, or comes a second time, is refused only under a higher token than its own.
+      boolean mayCome =
           a.phase() == Attempt.Phase.RECORDED
               || a.phase() == Attempt.Phase.CARRIED
-              || ((a.phase() == Attempt.Phase.SENT || a.phase() == Attempt.Phase.UNSURE)
-                  && beat.token() <= a.token());
-      if (!inFlight) {
+              || beat.token() <= a.token();
+      if (ours && !mayCome) {
         absent.add(a);
       }
     }
@@ -224,10 +268,75 @@
     return false;
   }
 
+  /**
+   * True if a report is later than all we know. Sessions and reports are counted anew if the machine was started
+   * anew, tokens are forgotten then: one that seems later but shows a lower token is of an earlier life.
+   */
   boolean isNewer(Beat beat) {
+    return isAfter(beat, session, seq) && beat.token() >= ackedToken;
+  }
+
+  /** True if a report can't be of the life that we know: it is an old copy, or the first of the next life. */
+  boolean isOfAnotherLife(Beat beat) {
+    return beat.token() < ackedToken;
+  }
+
+  static boolean isAfter(Beat beat, long session, long seq) {
     return beat.session() > session || (beat.session() == session && beat.seq() > seq);
   }
 
+  /**
+   * The machine was started anew: it has answered a question with an earlier session or report than was known when
+   * the question was put to it. What it reports now is all there is on it; its sessions begin again.
+   */
+  void reborn() {
+    session = 0;
+    seq = 0;
+    ackedToken = -1;
+    rises.clear();
+    forgetImages();
+  }
+
+  /** The session and report known last: what is asked from now on is answered by later ones. */
+  long seq() {
+    return seq;
+  }
+
+  /**
+   * By whom a report came: a worker that was answered stays with the controller that it reports to.
+   *
+   * @return true if by somebody else than the one before
+   */
+  boolean cameBy(String newPath) {
+    boolean changed = path != null && !path.equals(newPath);
+    path = newPath;
+    return changed;
+  }
+
+  /** Notes that an answer is about to leave which holds a token that the machine has not shown. */
+  void answeredUnshown(long epoch, long nowMs) {
+    if (!isConfirmed(epoch) && unshownSinceMs < 0) {
+      unshownSinceMs = nowMs;
+    }
+  }
+
+  /** Since when answers have left without any sign that one has arrived, ms, or -1. */
+  long unshownSinceMs() {
+    return unshownSinceMs;
+  }
+
+  /** How often its session has risen since then: each time no answer had arrived for a lease. */
+  int risesSince(long sinceMs) {
+    while (!rises.isEmpty() && rises.size() > Constants.RISES_REMEMBERED) {
+      rises.poll();
+    }
+    int count = 0;
+    for (long at : rises) {
+      count += at >= sinceMs ? 1 : 0;
+    }
+    return count;
+  }
+
   /** The attempt that a report speaks of, or null. */
   Attempt find(TaskRef task, long attempt) {
     return attempts.get(new Attempt.Key(task, attempt));
@@ -303,9 +412,18 @@
     return unreachableAtMs;
   }
 
-  /** True if it did not answer a question that was sent after it was last heard. */
+  /** When it was last asked whether it was started anew. */
+  long askedWhichAtMs() {
+    return askedWhichAtMs;
+  }
+
+  void askedWhich(long nowMs) {
+    askedWhichAtMs = nowMs;
+  }
+
+  /** True if it did not answer a question that was sent after we last were in contact. */
   boolean probeFailed() {
-    return failedProbeSentAtMs > heardAtMs;
+    return failedProbeSentAtMs > contactAtMs;
   }
 
   void setListedFailed() {
@@ -373,9 +491,17 @@
     return heardAtMs;
   }
 
-  /** Since when nothing was heard of it: never before this leader knew it. */
+  /**
+   * When we were last in contact, or -1: its report showed that what we said before had arrived. That reports
+   * come in shows only that the way from it is open.
+   */
+  public long contactAtMs() {
+    return contactAtMs;
+  }
+
+  /** Since when we are out of contact: never before this leader knew it. */
   public long quietSinceMs() {
-    return Math.max(heardAtMs, createdAtMs);
+    return Math.max(contactAtMs, createdAtMs);
   }
 
   long answeredAtMs() {
--- a/src/main/java/fennelthread/fleet/Rentals.java
+++ b/src/main/java/fennelthread/fleet/Rentals.java
@@ -237,7 +237,7 @@
       if (m.phase() == Machine.Phase.GONE || m.phase() == Machine.Phase.RETURNING) {
         continue;
       }
-      boolean silent = now - m.heardAtMs() > settings.workers().leaseMs() + Constants.LOST_PATIENCE_MS;
+      boolean silent = now - m.contactAtMs() > settings.workers().leaseMs() + Constants.LOST_PATIENCE_MS;
       boolean lost =
           m.phase() == Machine.Phase.LOST && silent && zones.mayReturnLost(m, now);
       boolean failed = m.isListedFailed();
@@ -250,8 +250,15 @@
           m.phase() == Machine.Phase.REPORTING
               && m.idleSinceMs() >= 0
               && now - m.idleSinceMs() > options.idleReturnMs();
-      if (lost || failed || noticeOver || drained || idle) {
-        giveBack(m, lost ? "lost" : failed ? "failed" : noticeOver ? "taken" : drained ? "drained" : "idle");
+      boolean untold = fleet.hearsNothing(m) && !zones.isAway(m);
+      if (lost || failed || noticeOver || drained || idle || untold) {
+        giveBack(
+            m,
+            lost
+                ? "lost"
+                : failed
+                    ? "failed"
+                    : noticeOver ? "taken" : drained ? "drained" : idle ? "idle" : "hears nothing");
       }
     }
     returnDuds(now);
--- a/src/main/java/fennelthread/lab/World.java
+++ b/src/main/java/fennelthread/lab/World.java
@@ -96,6 +96,64 @@
         });
   }
 
+  /** What one side says does not reach the other, for so long; what that one says does. */
+  void cutOneWay(String from, String to, long forMs) {
+    String link = from + ">" + to;
+    oneWay.add(link);
+    after(
+        forMs,
+        () -> {
+          oneWay.remove(link);
+          release(link);
+        });
+  }
+
+  private final Set<String> oneWay = new HashSet<>();
+
+  private String oneWayBetween(String from, String to) {
+    for (String link : oneWay) {
+      int arrow = link.indexOf('>');
+      if (from.startsWith(link.substring(0, arrow)) && to.startsWith(link.substring(arrow + 1))) {
+        return link;
+      }
+    }
+    return null;
+  }
+
+  /**
+   * Requests that are delivered again later, their answers going nowhere.
+   *
+   * @param path what the paths of such requests begin with
+   * @param share of those requests, each time anew: a copy may be copied again
+   */
+  record Copies(String path, double share, long leastMs, long mostMs) {}
+
+  /** What is copied at the moment. */
+  final List<Copies> copies = new ArrayList<>();
+
+  /** How many copies were delivered. */
+  int copied;
+
+  /** For so long requests are copied. */
+  void copy(Copies what, long forMs) {
+    copies.add(what);
+    after(forMs, () -> copies.remove(what));
+  }
+
+  private void copyPerhaps(String path, Runnable deliver) {
+    for (Copies c : copies) {
+      if (path.startsWith(c.path) && connections.nextDouble() < c.share) {
+        after(
+            c.leastMs + connections.nextLong(c.mostMs - c.leastMs + 1),
+            () -> {
+              copied++;
+              deliver.run();
+              copyPerhaps(path, deliver);
+            });
+      }
+    }
+  }
+
   /** Which packets a cut-off zone loses. */
   enum Way {
     BOTH,
@@ -167,6 +225,10 @@
     if (zone != null) {
       return zone;
     }
+    String way = oneWayBetween(from, to);
+    if (way != null) {
+      return way;
+    }
     for (String link : cuts) {
       int bar = link.indexOf('|');
       String a = link.substring(0, bar);
@@ -313,7 +375,22 @@
             }
           });
       String to = nameOf(address);
-      int question = call.path().indexOf('?');
+      copyPerhaps(
+          call.path(),
+          () -> {
+            Process target = byAddress.get(address);
+            if (target != null) {
+              target.enter(
+                  call.path(),
+                  () -> {
+                    target.caller = name;
+                    target
+                        .services
+                        .get(address)
+                        .handle(new Request(call.method(), call.path(), call.body()), answer -> {});
+                  });
+            }
+          });
       carry(
           name,
           to,
--- a/src/main/java/fennelthread/lead/Term.java
+++ b/src/main/java/fennelthread/lead/Term.java
@@ -262,9 +262,9 @@
     host.after(Constants.RENT_EVERY_MS, this::rentTick);
   }
 
-  /** Answers a report; null if we are not entitled to. */
-  public Answer beat(Beat beat) {
-    Answer answer = fleet.beat(beat);
+  /** Answers a report that came by a sibling or directly; null if we are not entitled to. */
+  public Answer beat(Beat beat, String by) {
+    Answer answer = fleet.beat(beat, by);
     return phase == Phase.CLOSED ? null : answer;
   }
 
--- a/src/main/java/fennelthread/relay/Courier.java
+++ b/src/main/java/fennelthread/relay/Courier.java
@@ -16,7 +16,6 @@
 import fennelthread.wire.WireException;
 import java.util.HashMap;
 import java.util.Map;
-import java.util.function.BiFunction;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 
@@ -27,6 +26,13 @@
  */
 public final class Courier implements Fleet.Paths {
 
+  /** Answers reports that siblings pass on. */
+  @FunctionalInterface
+  public interface Reports {
+    /** Answers one under the given epoch as if it had come directly; null if we are not entitled to. */
+    Answer answer(Beat beat, long epoch, String from);
+  }
+
   /** By whom a worker's last report was passed on. */
   private record Via(String member, long atMs) {}
 
@@ -71,14 +77,19 @@
 
   @Override
   public void send(
-      Machine m, Call call, long timeoutMs, Consumer<Answer> done, Host.Unsent unsent) {
+      Machine m,
+      String address,
+      Call call,
+      long timeoutMs,
+      Consumer<Answer> done,
+      Host.Unsent unsent) {
     String sibling = sibling(m);
     if (sibling != null) {
-      around(sibling, m, call, timeoutMs + Constants.RELAY_SLACK_MS, done, unsent);
+      around(sibling, address, call, timeoutMs + Constants.RELAY_SLACK_MS, done, unsent);
     } else if (call.spare() && mesh.anyRelay() != null) {
-      new Question(m, call, timeoutMs, done, unsent).ask();
+      new Question(m, address, call, timeoutMs, done, unsent).ask();
     } else {
-      host.call(m.address(), call, timeoutMs, done, unsent);
+      host.call(address, call, timeoutMs, done, unsent);
     }
   }
 
@@ -88,6 +99,7 @@
    */
   private final class Question {
     private final Machine machine;
+    private final String address;
     private final Call call;
     private final long timeoutMs;
     private final Consumer<Answer> done;
@@ -99,8 +111,14 @@
     private boolean tried;
 
     Question(
-        Machine machine, Call call, long timeoutMs, Consumer<Answer> done, Host.Unsent unsent) {
+        Machine machine,
+        String address,
+        Call call,
+        long timeoutMs,
+        Consumer<Answer> done,
+        Host.Unsent unsent) {
       this.machine = machine;
+      this.address = address;
       this.call = call;
       this.timeoutMs = timeoutMs;
       this.done = done;
@@ -108,7 +126,7 @@
     }
 
     void ask() {
-      host.call(machine.address(), call, timeoutMs, this::answered, this::notSent);
+      host.call(address, call, timeoutMs, this::answered, this::notSent);
       host.after(
           Math.min(Constants.HEDGE_MS, timeoutMs / 2),
           () -> {
@@ -117,7 +135,7 @@
               open++;
               around(
                   sibling,
-                  machine,
+                  address,
                   call,
                   timeoutMs - (host.nowMs() - askedAtMs),
                   answer -> {
@@ -158,7 +176,7 @@
   /** Sends a request through a sibling; {@code timeoutMs} is for all of it. */
   private void around(
       String sibling,
-      Machine m,
+      String address,
       Call call,
       long timeoutMs,
       Consumer<Answer> done,
@@ -174,7 +192,7 @@
         sibling,
         RelayWire.COMMANDS,
         new RelayWire.Commands(
-                epoch, m.address(), timeoutMs - Constants.RELAY_SLACK_MS / 2, call.spare(), body)
+                epoch, address, timeoutMs - Constants.RELAY_SLACK_MS / 2, call.spare(), body)
             .write(),
         timeoutMs,
         answer -> {
@@ -204,14 +222,13 @@
   /**
    * What siblings ask for: reports for us to answer, commands for us to pass on.
    *
-   * @param answers answers a report under the given epoch as if it had come directly, or gives null if
-   *     we are not entitled to
+   * @param reports answers what siblings pass on
    */
-  public Service service(BiFunction<Beat, Long, Answer> answers) {
+  public Service service(Reports reports) {
     return (request, reply) -> {
       try {
         if (request.path().equals(RelayWire.REPORT)) {
-          report(request, answers, reply);
+          report(request, reports, reply);
         } else {
           commands(request, reply);
         }
@@ -221,11 +238,10 @@
     };
   }
 
-  private void report(
-      Request request, BiFunction<Beat, Long, Answer> answers, Consumer<Answer> reply)
+  private void report(Request request, Reports reports, Consumer<Answer> reply)
       throws WireException {
     RelayWire.Report report = RelayWire.Report.read(Codec.JSON.decode(request.body()));
-    Answer answer = answers.apply(report.beat(), report.epoch());
+    Answer answer = reports.answer(report.beat(), report.epoch(), report.from());
     if (answer != null && answer.status() == 200) {
       vias.put(report.beat().machine(), new Via(report.from(), host.nowMs()));
     }
--- a/src/main/java/fennelthread/zones/Zones.java
+++ b/src/main/java/fennelthread/zones/Zones.java
@@ -71,7 +71,7 @@
       Count c = counts.computeIfAbsent(m.zone(), k -> new Count());
       c.known++;
       known++;
-      c.heardAtMs = Math.max(c.heardAtMs, m.heardAtMs());
+      c.heardAtMs = Math.max(c.heardAtMs, m.contactAtMs());
       if (m.phase() == Machine.Phase.REPORTING) {
         c.reporting++;
       }
@@ -132,7 +132,7 @@
   @Override
   public boolean mayPlace(Machine m) {
     Zone z = of(m);
-    return z == null || !z.isAway() || m.heardAtMs() > z.sinceMs();
+    return z == null || !z.isAway() || m.contactAtMs() > z.sinceMs();
   }
 
   @Override
--- /dev/null
+++ b/src/test/java/fennelthread/lab/CopiesTest.java
@@ -0,0 +1,160 @@
+package fennelthread.lab;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import fennelthread.wire.JobSpec;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.LongStream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.condition.EnabledIfSystemProperty;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/**
+ * Copies of messages that come again late, once and many times and in any order: what they say was true once.
+ * Leases are of 10 s.
+ */
+class CopiesTest {
+  private static final int MACHINES = 60;
+  private static final long LATEST_MS = 30_000;
+
+  /** Reports, what controllers say to one another, and commands to workers. */
+  private static final String[] PATHS = {
+    "/agent/beat", "/relay/", "/hail", "/member/", "/handover/", "/commands"
+  };
+
+  private static Cluster settled(long seed) {
+    Cluster c = new Cluster(seed, Deployment.large(MACHINES));
+    c.world.loss = 0;
+    c.world.late = 0;
+    c.world.runUntil(20_000);
+    return c;
+  }
+
+  private static void copyAll(Cluster c, double share, long forMs) {
+    for (String path : PATHS) {
+      c.world.copy(new World.Copies(path, share, 200, LATEST_MS), forMs);
+    }
+  }
+
+  private static List<JobSpec> services(Cluster c, int count) {
+    List<JobSpec> services = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      JobSpec job = c.plain(true, 4);
+      services.add(job);
+      c.world.after(i * 100L, () -> c.submit(job));
+    }
+    c.world.runUntil(c.world.now() + 15_000);
+    assertTrue(c.allRun(services));
+    return services;
+  }
+
+  private static WorkerStandIn hostOf(Cluster c, JobSpec job) {
+    return c.cloud.machines().values().stream()
+        .filter(w -> c.rules.isOn(job.id(), w))
+        .findFirst()
+        .orElseThrow();
+  }
+
+  /** Everything fails and half of what is said is said again later, up to three leases later. */
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
+  void storm(long seed) {
+    Cluster c = new Cluster(seed);
+    copyAll(c, 0.4, 300_000);
+    c.storm(300_000);
+    SimulationTest.settle(c);
+    assertTrue(c.world.copied > 1_000, c.world.copied + " copies");
+  }
+
+  /** More seeds than every build needs: {@code mvn test -Dtest=CopiesTest -Dsim.from=100 -Dsim.to=300}. */
+  @Test
+  @EnabledIfSystemProperty(named = "sim.from", matches = "[0-9]+")
+  void soak() {
+    List<String> broken =
+        LongStream.rangeClosed(Long.getLong("sim.from"), Long.getLong("sim.to"))
+            .parallel()
+            .mapToObj(
+                seed -> {
+                  try {
+                    storm(seed);
+                    return "";
+                  } catch (AssertionError | RuntimeException e) {
+                    return "seed " + seed + ": " + e;
+                  }
+                })
+            .filter(text -> !text.isEmpty())
+            .toList();
+    assertEquals(List.of(), broken);
+  }
+
+  /** A quiet day with copies is a quiet day: nothing is lost, nobody is taken over from, nothing is given back. */
+  @ParameterizedTest
+  @ValueSource(longs = {11, 12, 13})
+  void copiesAloneDoNoHarm(long seed) {
+    Cluster c = settled(seed);
+    List<JobSpec> services = services(c, 15);
+    int before = c.rules.starts;
+    int takeovers = c.state.takeovers;
+    copyAll(c, 0.5, 60_000);
+    List<JobSpec> batches = new ArrayList<>();
+    for (int i = 0; i < 40; i++) {
+      JobSpec job = c.plain(false, 5);
+      batches.add(job);
+      c.world.after(i * 1_000L, () -> c.submit(job));
+    }
+    c.rules.troublesAreOver();
+    c.world.runUntil(c.world.now() + 100_000);
+    assertTrue(c.world.copied > 1_000, c.world.copied + " copies");
+    assertTrue(c.allRun(services));
+    assertEquals(before + 40 * 5, c.rules.starts, "started again");
+    assertEquals(takeovers, c.state.takeovers);
+    assertEquals(Set.of(), Set.copyOf(c.cloud.returned));
+  }
+
+  /** A machine dies; copies of its reports go on coming in. They hide nothing: its replicas go elsewhere as ever. */
+  @ParameterizedTest
+  @CsvSource({"21,false", "22,false", "23,true", "24,true", "25,true"})
+  void copiesHideNoDeath(long seed, boolean leaderToo) {
+    Cluster c = settled(seed);
+    List<JobSpec> services = services(c, 15);
+    c.world.copy(new World.Copies("/agent/beat", 0.9, 500, LATEST_MS), 15_000);
+    c.world.runUntil(c.world.now() + 15_000);
+    WorkerStandIn dead = hostOf(c, services.get(0));
+    c.cloud.end(dead, true);
+    if (leaderToo) {
+      c.crash(c.leader(), 3_000);
+    }
+    long from = c.world.now();
+    while (!c.allRun(services) && c.world.now() < from + 60_000) {
+      c.world.runUntil(c.world.now() + 50);
+    }
+    long took = c.world.now() - from;
+    assertTrue(took < (leaderToo ? 12_000 : 8_500), "whole after " + took + " ms");
+    c.world.runUntil(c.world.now() + 40_000);
+    assertTrue(c.allRun(services));
+  }
+
+  /** Takeovers while copies from before, greetings and promises and reports alike, come in at the next leader. */
+  @ParameterizedTest
+  @CsvSource({"31,20", "32,50", "33,300", "34,4000"})
+  void takeoversWithCopiesFromBefore(long seed, long downMs) {
+    Cluster c = settled(seed);
+    List<JobSpec> services = services(c, 15);
+    int before = c.rules.starts;
+    copyAll(c, 0.5, 80_000);
+    for (int i = 0; i < 5; i++) {
+      c.world.runUntil(c.world.now() + 12_000);
+      if (c.leader() != null) {
+        c.crash(c.leader(), downMs);
+      }
+    }
+    c.world.runUntil(c.world.now() + 60_000);
+    assertTrue(c.allRun(services));
+    assertTrue(c.rules.starts - before <= 4, c.rules.starts - before + " started again");
+  }
+}
--- a/src/test/java/fennelthread/lab/ManyMachinesTest.java
+++ b/src/test/java/fennelthread/lab/ManyMachinesTest.java
@@ -111,13 +111,14 @@
     Cluster c = fleet(seed);
     List<JobSpec> services = services(c, 60);
     c.world.runUntil(40_000);
+    // From here on nothing can start before a controller has claimed again: a round may be as quick as the claim.
+    int before = c.rules.starts;
     c.state.outage(10_000);
     c.world.runUntil(47_000);
     c.controllers.keySet().forEach(member -> c.crash(member, 2_500));
     JobSpec job = c.plain(false, 20);
     c.world.at(48_000, () -> c.submit(job));
     long claimed = until(c, 70_000, () -> c.leader() != null);
-    int before = c.rules.starts;
     long started = until(c, 70_000, () -> c.rules.starts > before);
     System.out.printf(
         "seed %d: claimed %d ms after the outage, first start %d ms%n",
--- a/src/test/java/fennelthread/lab/PairsTest.java
+++ b/src/test/java/fennelthread/lab/PairsTest.java
@@ -59,6 +59,24 @@
     TROUBLES.put("a fifth cut off", c -> c.world.cut("n-00011", "nodo", 18_000));
     TROUBLES.put("a fifth dies", c -> fifth(c, w -> c.cloud.end(w, true)));
     TROUBLES.put("a fifth hangs", c -> fifth(c, w -> w.hang(8_000)));
+    TROUBLES.put("a fifth untold", c -> c.world.cutOneWay("nodo", "n-00011", 18_000));
+    TROUBLES.put(
+        "reports copied",
+        c -> {
+          c.world.copy(new World.Copies("/agent/beat", 0.3, 1_000, 30_000), 20_000);
+          c.world.copy(new World.Copies("/relay/report", 0.3, 1_000, 30_000), 20_000);
+        });
+    TROUBLES.put(
+        "leader alone",
+        c ->
+            withLeader(
+                c,
+                m -> {
+                  c.world.cut(m, "state", 15_000);
+                  members(c).stream()
+                      .filter(o -> !o.equals(m))
+                      .forEach(o -> c.world.cut(m, o, 15_000));
+                }));
     TROUBLES.put("cloud down", c -> c.cloud.outage(15_000));
     TROUBLES.put(
         "burst",
@@ -127,6 +145,7 @@
       }
       up.add(running / 120.0);
     }
+    c.world.at(FIRST_MS + gapMs + 35_000, c.rules::troublesAreOver);
     c.world.runUntil(FIRST_MS + 120_000);
     c.rules.checkServed(30_000);
     double worst = 1;
--- a/src/test/java/fennelthread/lab/SimulationTest.java
+++ b/src/test/java/fennelthread/lab/SimulationTest.java
@@ -42,6 +42,8 @@
 
   /** The end of a storm: the network is fine again, and all that may end does. */
   static void settle(Cluster c) {
+    // The last trouble may begin at 300 s and last for 20 s; what is late may come for a minute more.
+    c.world.at(325_000, c.rules::troublesAreOver);
     c.world.runUntil(300_000);
     c.world.loss = 0;
     c.world.late = 0;
--- /dev/null
+++ b/src/test/java/fennelthread/lab/UntoldTest.java
@@ -0,0 +1,202 @@
+package fennelthread.lab;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import fennelthread.wire.JobSpec;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.function.BooleanSupplier;
+import java.util.stream.Collectors;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/**
+ * Machines whose reports arrive, but which answers and commands don't reach: their workers end their tasks with
+ * each lease and come back with the next session, again and again. Leases are of 10 s.
+ */
+class UntoldTest {
+  private static final int MACHINES = 60;
+
+  private static Cluster settled(long seed) {
+    return settled(new Cluster(seed, Deployment.large(MACHINES)));
+  }
+
+  private static Cluster settled(Cluster c) {
+    c.world.loss = 0;
+    c.world.late = 0;
+    c.world.runUntil(20_000);
+    return c;
+  }
+
+  private static List<JobSpec> services(Cluster c, int count) {
+    List<JobSpec> services = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      JobSpec job = c.plain(true, 4);
+      services.add(job);
+      c.world.after(i * 100L, () -> c.submit(job));
+    }
+    c.world.runUntil(c.world.now() + 15_000);
+    assertTrue(c.allRun(services));
+    return services;
+  }
+
+  private static List<WorkerStandIn> carrying(Cluster c) {
+    Set<String> names =
+        c.rules.present().stream().map(p -> p.substring(p.indexOf('@') + 1)).collect(Collectors.toSet());
+    return c.cloud.machines().values().stream().filter(w -> names.contains(w.name())).toList();
+  }
+
+  private static long until(Cluster c, long mostMs, BooleanSupplier holds) {
+    long from = c.world.now();
+    while (c.world.now() < from + mostMs && !holds.getAsBoolean()) {
+      c.world.runUntil(c.world.now() + 50);
+    }
+    return c.world.now() - from;
+  }
+
+  private static boolean nothingOn(Cluster c, List<WorkerStandIn> machines, List<JobSpec> services) {
+    return machines.stream().noneMatch(w -> services.stream().anyMatch(s -> c.rules.isOn(s.id(), w)));
+  }
+
+  /** Their replicas are started elsewhere in the time that a silent machine's are, and they are given back. */
+  @ParameterizedTest
+  @CsvSource({"1,1", "2,1", "3,6", "4,6", "5,6"})
+  void replicasOfMachinesThatHearNothingGoElsewhere(long seed, int count) {
+    Cluster c = settled(seed);
+    List<JobSpec> services = services(c, 15);
+    List<WorkerStandIn> untold = carrying(c).subList(0, count);
+    untold.forEach(w -> c.world.cutOneWay("nodo", w.name(), 90_000));
+    c.world.runUntil(c.world.now() + 100);
+    long took = until(c, 60_000, () -> nothingOn(c, untold, services) && c.allRun(services));
+    assertTrue(took < 9_500, "whole after " + took + " ms");
+    c.world.runUntil(c.world.now() + 40_000);
+    for (WorkerStandIn w : untold) {
+      assertTrue(c.cloud.returned.contains(w.name()), w.name() + " is charged and of no use");
+    }
+    assertTrue(c.allRun(services));
+  }
+
+  /** A cut only from the leader: siblings tell the machines what it says, and nothing is lost. */
+  @ParameterizedTest
+  @ValueSource(longs = {11, 12, 13})
+  void whoeverOnlyTheLeaderCanNotTellIsToldBySiblings(long seed) {
+    Cluster c = settled(seed);
+    List<JobSpec> services = services(c, 15);
+    int before = c.rules.starts;
+    String leader = c.leader();
+    c.world.cutOneWay(leader, "n-", 40_000);
+    c.world.runUntil(c.world.now() + 15_000);
+    JobSpec job = c.plain(false, 6);
+    c.submit(job);
+    c.world.runUntil(c.world.now() + 24_000);
+    assertTrue(c.rules.starts >= before + 6, "nothing starts");
+    assertTrue(c.rules.starts <= before + 6 + 4, c.rules.starts - before - 6 + " started again");
+    c.world.runUntil(c.world.now() + 20_000);
+    assertTrue(c.allRun(services));
+  }
+
+  /** Machines that hear nothing from before a takeover on: the new leader's token never shows. */
+  @ParameterizedTest
+  @ValueSource(longs = {21, 22, 23})
+  void theNextLeaderNeverReachesThem(long seed) {
+    Cluster c = settled(seed);
+    List<JobSpec> services = services(c, 15);
+    List<WorkerStandIn> untold = carrying(c).subList(0, 6);
+    untold.forEach(w -> c.world.cutOneWay("nodo", w.name(), 90_000));
+    c.world.runUntil(c.world.now() + 500);
+    c.crash(c.leader(), 4_000);
+    long took = until(c, 60_000, () -> nothingOn(c, untold, services) && c.allRun(services));
+    assertTrue(took < 14_000, "whole after " + took + " ms");
+    c.world.runUntil(c.world.now() + 30_000);
+    assertTrue(c.allRun(services));
+  }
+
+  /**
+   * Two thirds of the fleet hear nothing and the cloud takes nothing back: no proof but their own next session, or
+   * that a lease is over which nobody can have renewed. What was on them runs on the others all the same.
+   */
+  @ParameterizedTest
+  @CsvSource({"31,false", "32,false", "33,true", "34,true"})
+  void mostOfAFleetHearsNothingAndTheCloudIsOut(long seed, boolean takeover) {
+    Cluster c = settled(seed);
+    List<JobSpec> services = services(c, 10);
+    c.cloud.outage(90_000);
+    List<WorkerStandIn> all = List.copyOf(c.cloud.machines().values());
+    List<WorkerStandIn> untold = new ArrayList<>();
+    for (int i = 0; i < all.size(); i++) {
+      if (i % 3 != 0) {
+        untold.add(all.get(i));
+        c.world.cutOneWay("nodo", all.get(i).name(), 80_000);
+      }
+    }
+    if (takeover) {
+      c.world.runUntil(c.world.now() + 500);
+      c.crash(c.leader(), 4_000);
+    }
+    long took = until(c, 60_000, () -> nothingOn(c, untold, services) && c.allRun(services));
+    assertTrue(took < (takeover ? 40_000 : 25_000), "whole after " + took + " ms");
+    c.world.runUntil(c.world.now() + 100_000);
+    assertTrue(c.allRun(services));
+  }
+
+  /** It hears again: it is used again. */
+  @ParameterizedTest
+  @ValueSource(longs = {41, 42})
+  void whoHearsAgainIsUsedAgain(long seed) {
+    Cluster c = settled(new Cluster(seed, Deployment.tiny()));
+    c.cloud.outage(200_000);
+    c.world.cutOneWay("nodo", "n-", 25_000);
+    c.world.runUntil(c.world.now() + 32_000);
+    JobSpec job = c.plain(false, 20);
+    c.submit(job);
+    c.world.runUntil(c.world.now() + 25_000);
+    assertTrue(c.rules.isOver(job.id()));
+  }
+
+  /** Heard, not told, told again, every few seconds: no rule is broken, and most of the work is done. */
+  @ParameterizedTest
+  @CsvSource({"51,2500", "52,4000", "53,6000", "54,11000"})
+  void flapping(long seed, long everyMs) {
+    Cluster c = settled(seed);
+    List<JobSpec> services = services(c, 10);
+    List<WorkerStandIn> some = carrying(c).subList(0, 8);
+    for (long at = 0; at < 60_000; at += 2 * everyMs) {
+      c.world.after(at, () -> some.forEach(w -> c.world.cutOneWay("nodo", w.name(), everyMs)));
+    }
+    List<JobSpec> batches = new ArrayList<>();
+    for (int i = 0; i < 30; i++) {
+      JobSpec job = c.plain(false, 4);
+      batches.add(job);
+      c.world.after(i * 2_000L, () -> c.submit(job));
+    }
+    c.world.runUntil(c.world.now() + 60_000);
+    c.rules.troublesAreOver();
+    c.world.runUntil(c.world.now() + 40_000);
+    assertTrue(c.allRun(services));
+    assertEquals(
+        List.of(), batches.stream().map(JobSpec::id).filter(id -> !c.rules.isOver(id)).toList());
+    c.rules.checkServed(0);
+  }
+
+  /** A whole zone of two hears nothing: the other one takes over what it can, and both serve afterwards. */
+  @ParameterizedTest
+  @ValueSource(longs = {61, 62})
+  void aWholeZone(long seed) {
+    Cluster c = settled(seed);
+    List<JobSpec> services = services(c, 10);
+    for (WorkerStandIn w : c.cloud.machines().values()) {
+      if (w.zone().equals("sur")) {
+        c.world.cutOneWay("nodo", w.name(), 45_000);
+      }
+    }
+    long took = until(c, 60_000, () -> c.allRun(services) && c.world.now() > 50_000);
+    assertNotNull(c.leader());
+    assertTrue(took < 30_000, "whole after " + took + " ms");
+    c.world.runUntil(c.world.now() + 80_000);
+    assertTrue(c.allRun(services));
+  }
+}
