Tests bring each meeting of two troubles about; the lab's writes, commands and answers come late

The lab carries transactions out late without an answer, holds requests or answers up, leaves a controller alone with its workers. MeetingsTest: held commands and machines that go on, late transactions (alone, in a storm, of chained jobs), small jobs that end far apart over changes of leader, a leader's end while machines can't be reached or hear nothing, a leader alone for 5 to 180 s with an outage before, inside, or the next one alone too. PairsTest gains late writes and held commands.

--- a/src/main/java/fennelthread/lab/Cluster.java
+++ b/src/main/java/fennelthread/lab/Cluster.java
@@ -313,6 +313,12 @@
     return services.stream().allMatch(job -> rules.running(job.id()) == job.tasks());
   }
 
+  /** A controller loses the state service and the other controllers, not its workers or users. */
+  void leaveAlone(String member, long forMs) {
+    world.cut(member, "state", forMs);
+    addresses.keySet().stream().filter(m -> !m.equals(member)).forEach(m -> world.cut(member, m, forMs));
+  }
+
   /** No controller reaches another for so long. */
   void refuseMesh(long forMs) {
     List<String> members = List.copyOf(addresses.keySet());
--- a/src/main/java/fennelthread/lab/Rules.java
+++ b/src/main/java/fennelthread/lab/Rules.java
@@ -40,6 +40,9 @@
   private long sampledAt;
   int starts;
 
+  /** Starts of tasks that had completed: no rule forbids them, but they are work done twice. */
+  int startsAfterDone;
+
   /** What a class of jobs, or of a team's, was to have, and what it had. */
   private static final class Served {
     long replicasWanted;
@@ -263,6 +266,8 @@
     starts++;
     begunAt.putIfAbsent(spec.id(), world.now());
     String task = spec.id() + "/" + index;
+    BitSet done = completed.get(spec.id());
+    startsAfterDone += done != null && done.get(index) ? 1 : 0;
     WorkerStandIn other = where.put(task, w);
     if (other != null) {
       broken("ran_twice", task + " starts on " + w.name() + " while on " + other.name());
--- a/src/main/java/fennelthread/lab/StateStandIn.java
+++ b/src/main/java/fennelthread/lab/StateStandIn.java
@@ -89,6 +89,17 @@
         });
   }
 
+  private double lateShare;
+
+  /** Transactions that got no answer and were carried out late. */
+  int appliedLate;
+
+  /** For so long a share of the transactions gets no answer and is carried out 2 to 12 s later. */
+  void lateWrites(double share, long forMs) {
+    lateShare = share;
+    world.after(forMs, () -> lateShare = 0);
+  }
+
   void refuse(String member, long forMs) {
     refused.add(member);
     world.after(
@@ -160,13 +171,29 @@
               process.caller,
               new String(request.body(), java.nio.charset.StandardCharsets.ISO_8859_1));
       if (hold > 0) {
-        world.after(hold, () -> serve(request, reply));
+        later(hold, request, reply);
+        return;
+      }
+      if (lateShare > 0 && world.faults.nextDouble() < lateShare) {
+        // No answer ever, and carried out after newer ones of the same controller.
+        appliedLate++;
+        later(2_000 + world.faults.nextInt(10_000), request, answer -> {});
         return;
       }
     }
     serve(request, reply);
   }
 
+  private void later(long ms, Request request, Consumer<Answer> reply) {
+    String caller = process.caller;
+    world.after(
+        ms,
+        () -> {
+          process.caller = caller;
+          serve(request, reply);
+        });
+  }
+
   private void serve(Request request, Consumer<Answer> reply) {
     String path = request.path();
     if (down || refused.contains(process.caller)) {
--- a/src/main/java/fennelthread/lab/World.java
+++ b/src/main/java/fennelthread/lab/World.java
@@ -33,6 +33,9 @@
   private final List<Runnable> afterEach = new ArrayList<>();
   final SplittableRandom random;
   private final SplittableRandom connections;
+
+  /** Chance for troubles that few tests have: drawing here changes nothing for the others. */
+  final SplittableRandom faults;
   double loss = 0.002;
   double late = 0.001;
 
@@ -55,6 +58,7 @@
   World(long seed) {
     random = new SplittableRandom(seed);
     connections = new SplittableRandom(~seed);
+    faults = new SplittableRandom(seed * 31 + 17);
   }
 
   long now() {
@@ -154,6 +158,42 @@
     }
   }
 
+  /**
+   * Requests, or answers to them, that are held up and delivered when their senders have long given up.
+   *
+   * @param path what the paths of such requests begin with
+   * @param answers true if the requests arrive at once and their answers are held up
+   * @param share of those requests
+   */
+  record Held(String path, boolean answers, double share, long leastMs, long mostMs) {}
+
+  private final List<Held> holds = new ArrayList<>();
+
+  /** How many requests or answers were delivered late on purpose. */
+  int deliveredLate;
+
+  /** For so long requests or answers are held up. */
+  void hold(Held what, long forMs) {
+    holds.add(what);
+    after(forMs, () -> holds.remove(what));
+  }
+
+  /** Carries a packet of a request, or holds it up. */
+  private void carryOrHold(String path, boolean answer, String from, String to, Runnable deliver) {
+    for (Held h : holds) {
+      if (h.answers == answer && path.startsWith(h.path) && faults.nextDouble() < h.share) {
+        after(
+            h.leastMs + faults.nextLong(h.mostMs - h.leastMs + 1),
+            () -> {
+              deliveredLate++;
+              deliver.run();
+            });
+        return;
+      }
+    }
+    carry(from, to, deliver);
+  }
+
   /** Which packets a cut-off zone loses. */
   enum Way {
     BOTH,
@@ -391,7 +431,9 @@
                   });
             }
           });
-      carry(
+      carryOrHold(
+          call.path(),
+          false,
           name,
           to,
           () -> {
@@ -411,7 +453,9 @@
                   service.handle(
                       new Request(call.method(), call.path(), call.body()),
                       answer ->
-                          carry(
+                          carryOrHold(
+                              call.path(),
+                              true,
                               to,
                               name,
                               () ->
--- a/src/test/java/fennelthread/lab/GapTest.java
+++ b/src/test/java/fennelthread/lab/GapTest.java
@@ -157,8 +157,12 @@
           }
         });
     // Frozen and back, not ended: a new process of a sibling would have everybody wait for the state service.
-    c.processes.get(before).pause(3_000);
+    long frozenAt = Long.MIN_VALUE / 2;
     while (claimed[0] == null || !claimed[0].equals(c.leader())) {
+      if (claimed[0] == null && c.world.now() - frozenAt > 8_000) {
+        c.processes.get(before).pause(3_000);
+        frozenAt = c.world.now();
+      }
       c.world.runUntil(c.world.now() + 5);
       assertTrue(c.world.now() < 120_000, "nobody claims");
     }
--- /dev/null
+++ b/src/test/java/fennelthread/lab/MeetingsTest.java
@@ -0,0 +1,340 @@
+package fennelthread.lab;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import fennelthread.wire.JobSpec;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.LongConsumer;
+import java.util.stream.LongStream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.condition.EnabledIfSystemProperty;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/**
+ * Where two troubles meet. The rules are checked after each step; each test sees to it that its meeting came about.
+ * The gap has {@link GapTest}, late copies {@link CopiesTest}, machines that hear nothing {@link UntoldTest},
+ * processes that are back within a second {@link RestartTest}. Leases are of 10 s, withdrawn jobs' tasks gone
+ * after 30 s.
+ */
+class MeetingsTest {
+  private static final int MACHINES = 60;
+
+  private static Cluster settled(long seed) {
+    Cluster c = new Cluster(seed, Deployment.large(MACHINES));
+    c.world.loss = 0;
+    c.world.late = 0;
+    c.world.runUntil(20_000);
+    return c;
+  }
+
+  private static List<JobSpec> services(Cluster c, int count) {
+    List<JobSpec> services = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      JobSpec job = c.plain(true, 4);
+      services.add(job);
+      c.world.after(i * 100L, () -> c.submit(job));
+    }
+    c.world.runUntil(c.world.now() + 15_000);
+    assertTrue(c.allRun(services));
+    return services;
+  }
+
+  private static JobSpec lasting(Cluster c, int tasks, double estimateS) {
+    JobSpec any = c.plain(false, tasks);
+    return new JobSpec(
+        any.id(), any.jobClass(), any.team(), false, any.priority(), tasks, 1, 0, 2, any.image(), 1, null, null, false,
+        false, true, estimateS, 0, 0, JobSpec.NO_DEADLINE);
+  }
+
+  /** Jobs of some tasks, one every so often, of which every third is cancelled a little later. */
+  private static List<JobSpec> busy(Cluster c, int count, long everyMs) {
+    List<JobSpec> jobs = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      JobSpec job = lasting(c, 1 + i % 4, 2 + i % 11);
+      jobs.add(job);
+      c.world.after(i * everyMs, () -> c.submit(job));
+      if (i % 3 == 0) {
+        c.world.after(i * everyMs + 300 + i % 7 * 400, () -> c.withdraw(job.id()));
+      }
+    }
+    return jobs;
+  }
+
+  /** Nothing fails any more: every job is over, every question answered, every service whole. */
+  private static void settle(Cluster c, List<JobSpec> services, List<JobSpec> jobs) {
+    c.world.runUntil(c.world.now() + 60_000);
+    c.rules.troublesAreOver();
+    c.world.runUntil(c.world.now() + 60_000);
+    assertTrue(c.allRun(services), "services are whole");
+    assertEquals(List.of(), jobs.stream().map(JobSpec::id).filter(id -> !c.rules.isOver(id)).toList());
+    c.rules.checkServed(30_000);
+  }
+
+  private static int staleRuns(Cluster c) {
+    return c.cloud.machines().values().stream().mapToInt(w -> w.staleRuns).sum();
+  }
+
+  // ---------------------------------------------------------------- a command is held up, and the machine goes on
+
+  /**
+   * Starts, stops and their answers are held up for seconds to a minute, machines hang and go on, leaders change
+   * and jobs are cancelled meanwhile. What was started elsewhere, or is over, is not started by a held command:
+   * the token was raised before anything was concluded.
+   */
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3, 4})
+  void commandsAreHeldAndTheMachineGoesOn(long seed) {
+    Cluster c = settled(seed);
+    List<JobSpec> services = services(c, 10);
+    c.world.hold(new World.Held("/commands", false, 0.25, 2_000, 60_000), 60_000);
+    c.world.hold(new World.Held("/commands", true, 0.15, 2_000, 60_000), 60_000);
+    List<JobSpec> jobs = busy(c, 80, 700);
+    for (int i = 0; i < 12; i++) {
+      c.world.after(
+          2_000 + i * 4_500L,
+          () -> {
+            List<WorkerStandIn> all = List.copyOf(c.cloud.machines().values());
+            all.get(c.world.faults.nextInt(all.size())).hang(3_000 + c.world.faults.nextInt(6_000));
+          });
+    }
+    for (int i = 0; i < 3; i++) {
+      c.world.after(10_000 + i * 17_000L, () -> ifLed(c, m -> c.crash(m, 300)));
+    }
+    c.world.runUntil(c.world.now() + 60_000);
+    assertTrue(c.world.deliveredLate > 50, c.world.deliveredLate + " late");
+    settle(c, services, jobs);
+    assertTrue(staleRuns(c) > 0, "no start came under an old token");
+  }
+
+  private static void ifLed(Cluster c, java.util.function.Consumer<String> trouble) {
+    if (c.leader() != null) {
+      trouble.accept(c.leader());
+    }
+  }
+
+  // ---------------------------------------------------------------- a transaction is carried out late
+
+  /**
+   * A share of all transactions gets no answer and is carried out 2 to 12 s later, after newer ones of the same
+   * controller: submissions, withdrawals, rounds, finished batches, removals, claims. Leaders end meanwhile.
+   */
+  @ParameterizedTest
+  @CsvSource({"1,0.1", "2,0.3", "3,0.3", "4,0.5", "5,0.2", "6,0.3"})
+  void transactionsAreCarriedOutLate(long seed, double share) {
+    Cluster c = settled(seed);
+    List<JobSpec> services = services(c, 10);
+    c.state.lateWrites(share, 70_000);
+    List<JobSpec> jobs = busy(c, 80, 800);
+    for (int i = 0; i < 4; i++) {
+      c.world.after(8_000 + i * 15_000L, () -> ifLed(c, m -> c.crash(m, 50)));
+    }
+    c.world.runUntil(c.world.now() + 82_000);
+    assertTrue(c.state.appliedLate > 20, c.state.appliedLate + " late");
+    settle(c, services, jobs);
+  }
+
+  /** The same in the storm of everything. */
+  @ParameterizedTest
+  @ValueSource(longs = {11, 12, 13, 14})
+  void lateTransactionsInAStorm(long seed) {
+    Cluster c = new Cluster(seed);
+    c.state.lateWrites(0.2, 300_000);
+    c.world.hold(new World.Held("/commands", false, 0.1, 2_000, 60_000), 300_000);
+    c.world.copy(new World.Copies("/agent/beat", 0.2, 2_000, 30_000), 300_000);
+    c.storm(300_000);
+    SimulationTest.settle(c);
+    assertTrue(c.state.appliedLate > 50, c.state.appliedLate + " late");
+  }
+
+  /** Pipelines of users, whose jobs wait for one another, with late transactions and cancellations. */
+  @ParameterizedTest
+  @ValueSource(longs = {21, 22, 23})
+  void lateTransactionsOfChainedJobs(long seed) {
+    Cluster c = new Cluster(seed);
+    c.state.lateWrites(0.25, 200_000);
+    c.pipelines(200_000);
+    c.storm(200_000);
+    SimulationTest.settle(c);
+    assertTrue(c.state.appliedLate > 50, c.state.appliedLate + " late");
+  }
+
+  // ---------------------------------------------------------------- small jobs end far apart across a leader's end
+
+  /**
+   * Jobs of two or three tasks of which one ends at once and another long after, a change of leader between them,
+   * and again; the leader ends in the middle of its writing of finished tasks, too. What is done is neither lost
+   * nor counted twice: no job is called done early, none stays open, no completed task is started again.
+   */
+  @ParameterizedTest
+  @CsvSource({"1,50,0", "2,300,0", "3,4000,0", "4,50,0.3", "5,4000,0.3"})
+  void smallJobsEndFarApart(long seed, long downMs, double lateShare) {
+    Cluster c = settled(seed);
+    List<JobSpec> services = services(c, 6);
+    List<JobSpec> jobs = new ArrayList<>();
+    for (int i = 0; i < 40; i++) {
+      JobSpec job = lasting(c, 2 + i % 2, 1 + i % 5 * 9);
+      jobs.add(job);
+      c.world.after(i * 500L, () -> c.submit(job));
+    }
+    c.state.lateWrites(lateShare, 50_000);
+    int[] changes = new int[1];
+    int[] inTheWriting = new int[1];
+    c.state.onWrite.add(
+        key -> {
+          if (key.startsWith("live/done/") && inTheWriting[0] < 4 && c.state.caller().equals(c.leader())) {
+            inTheWriting[0]++;
+            c.crash(c.state.caller(), downMs);
+          }
+        });
+    for (int i = 0; i < 5; i++) {
+      c.world.after(
+          3_000 + i * 9_000L,
+          () ->
+              ifLed(
+                  c,
+                  m -> {
+                    changes[0]++;
+                    c.crash(m, downMs);
+                  }));
+    }
+    c.world.runUntil(c.world.now() + 60_000);
+    assertTrue(changes[0] >= 3, changes[0] + " changes of leader");
+    settle(c, services, jobs);
+    for (JobSpec job : jobs) {
+      assertTrue(c.rules.allCompleted(job.id()), job.id());
+    }
+    assertEquals(0, c.rules.startsAfterDone, "completed tasks started again");
+  }
+
+  // ---------------------------------------------------------------- machines can't be reached when the leader ends
+
+  /**
+   * A leader ends while a third of the machines, with long tasks, is cut off, or hears nothing of the next one: their
+   * tasks count as present until proven gone, over two more changes of leader, and none runs twice.
+   */
+  @ParameterizedTest
+  @CsvSource({"1,false", "2,true", "3,false", "4,true"})
+  void theLeaderEndsWhileMachinesCanNotBeReached(long seed, boolean oneWay) {
+    Cluster c = settled(seed);
+    List<JobSpec> services = services(c, 8);
+    List<JobSpec> jobs = new ArrayList<>();
+    for (int i = 0; i < 12; i++) {
+      JobSpec job = lasting(c, 6, 60);
+      jobs.add(job);
+      c.world.after(i * 100L, () -> c.submit(job));
+    }
+    c.world.runUntil(c.world.now() + 6_000);
+    int untold = 0;
+    int with = 0;
+    for (WorkerStandIn w : List.copyOf(c.cloud.machines().values())) {
+      if (untold++ % 3 != 0) {
+        continue;
+      }
+      with += c.rules.present().stream().anyMatch(p -> p.endsWith("@" + w.name())) ? 1 : 0;
+      if (oneWay) {
+        c.world.cutOneWay("nodo", w.name(), 35_000);
+      } else {
+        c.world.cut(w.name(), "nodo", 8_500);
+      }
+    }
+    assertTrue(with > 2, with + " machines with tasks");
+    String first = c.leader();
+    c.crash(first, 3_000);
+    c.world.runUntil(c.world.now() + 4_000);
+    assertNotEquals(first, c.leader());
+    ifLed(c, m -> c.crash(m, 300));
+    c.world.runUntil(c.world.now() + 5_000);
+    ifLed(c, m -> c.crash(m, 50));
+    c.world.runUntil(c.world.now() + 40_000);
+    settle(c, services, jobs);
+  }
+
+  // ---------------------------------------------------------------- a leader is alone with its workers
+
+  /**
+   * A leader loses the state service and the others, not its workers and users, and jobs are cancelled through the
+   * next one, while their tasks are on machines that report to the old one. For the whole of it users ask everybody,
+   * and nobody hears an old answer; an outage of the state service comes before, inside or never.
+   */
+  @ParameterizedTest
+  @CsvSource({
+    "1,5000,none", "2,20000,none", "3,60000,none", "4,180000,none", "5,60000,before", "6,60000,inside",
+    "7,60000,in turn", "8,20000,in turn"
+  })
+  void aLeaderAloneWithItsWorkers(long seed, long forMs, String outage) {
+    Cluster c = settled(seed);
+    List<JobSpec> services = services(c, 20);
+    String old = c.leader();
+    if (outage.equals("before")) {
+      c.state.outage(12_000);
+      c.world.runUntil(c.world.now() + 11_000);
+    }
+    c.leaveAlone(old, forMs);
+    if (outage.equals("inside")) {
+      c.world.after(15_000, () -> c.state.outage(40_000));
+    }
+    List<String> others = c.controllers.keySet().stream().filter(m -> !m.equals(old)).toList();
+    if (outage.equals("in turn")) {
+      c.world.after(forMs / 2, () -> ifLed(c, m -> c.leaveAlone(m, forMs / 2)));
+    }
+    List<JobSpec> cancelled = services.subList(0, 12);
+    int[] there = new int[1];
+    for (int i = 0; i < cancelled.size(); i++) {
+      String id = cancelled.get(i).id();
+      String by = others.get(i % 2);
+      c.world.after(
+          400 + i * Math.min(1_000, forMs / 12),
+          () -> {
+            there[0] += c.rules.running(id) > 0 ? 1 : 0;
+            c.withdrawThrough(by, id, 30);
+          });
+    }
+    c.world.runUntil(c.world.now() + forMs);
+    assertTrue(there[0] >= 10, there[0] + " cancelled while their tasks ran");
+    assertNotEquals(old, forMs > 10_000 && !outage.equals("in turn") ? c.leaderOtherThan(old) : "", "who leads");
+    settle(c, services.subList(12, 20), List.of());
+    assertTrue(cancelled.stream().allMatch(job -> c.rules.cancelledAt(job.id()) >= 0), "not all were told");
+    for (JobSpec job : cancelled) {
+      assertEquals(0, c.rules.running(job.id()), job.id());
+    }
+  }
+
+  // ---------------------------------------------------------------- on demand
+
+  /** More seeds of each: {@code mvn test -Dtest=MeetingsTest#soak -Dsim.from=100 -Dsim.to=120}. */
+  @Test
+  @EnabledIfSystemProperty(named = "sim.from", matches = "[0-9]+")
+  void soak() {
+    List<LongConsumer> meetings =
+        List.of(
+            this::commandsAreHeldAndTheMachineGoesOn,
+            seed -> transactionsAreCarriedOutLate(seed, 0.3),
+            this::lateTransactionsInAStorm,
+            this::lateTransactionsOfChainedJobs,
+            seed -> smallJobsEndFarApart(seed, seed % 2 == 0 ? 50 : 4_000, seed % 3 == 0 ? 0.3 : 0),
+            seed -> theLeaderEndsWhileMachinesCanNotBeReached(seed, seed % 2 == 0),
+            seed -> aLeaderAloneWithItsWorkers(seed, 60_000, seed % 2 == 0 ? "none" : "inside"));
+    List<String> broken =
+        LongStream.rangeClosed(Long.getLong("sim.from"), Long.getLong("sim.to"))
+            .boxed()
+            .flatMap(seed -> java.util.stream.IntStream.range(0, meetings.size()).mapToObj(i -> new long[] {seed, i}))
+            .parallel()
+            .map(
+                at -> {
+                  try {
+                    meetings.get((int) at[1]).accept(at[0]);
+                    return "";
+                  } catch (AssertionError | RuntimeException e) {
+                    return "meeting " + at[1] + " seed " + at[0] + ": " + e;
+                  }
+                })
+            .filter(text -> !text.isEmpty())
+            .toList();
+    assertEquals(List.of(), broken);
+  }
+}
--- a/src/test/java/fennelthread/lab/PairsTest.java
+++ b/src/test/java/fennelthread/lab/PairsTest.java
@@ -71,12 +71,14 @@
         c ->
             withLeader(
                 c,
-                m -> {
-                  c.world.cut(m, "state", 15_000);
-                  members(c).stream()
-                      .filter(o -> !o.equals(m))
-                      .forEach(o -> c.world.cut(m, o, 15_000));
-                }));
+                m -> c.leaveAlone(m, 15_000)));
+    TROUBLES.put("writes late", c -> c.state.lateWrites(0.3, 15_000));
+    TROUBLES.put(
+        "commands held",
+        c -> {
+          c.world.hold(new World.Held("/commands", false, 0.2, 2_000, 40_000), 15_000);
+          c.world.hold(new World.Held("/commands", true, 0.2, 2_000, 40_000), 15_000);
+        });
     TROUBLES.put("cloud down", c -> c.cloud.outage(15_000));
     TROUBLES.put(
         "burst",
