A late batch of finished tasks takes nothing back: each part is conditional on the one before

Cause, read in the sources and shown by a test: a part of a job's finished tasks was conditional on the job's record alone, which doesn't change with it. One without an answer, carried out after newer ones of the same leader, wrote the smaller set over the larger, when workers had been told to forget those tasks; a controller that reads the state anew would run them again.

Change: the part's revision is among the conditions.

--- a/src/main/java/fennelthread/lab/Cluster.java
+++ b/src/main/java/fennelthread/lab/Cluster.java
@@ -13,6 +13,8 @@
 import fennelthread.wire.Priority;
 import fennelthread.wire.WireException;
 import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -148,6 +150,7 @@
     }
     world.afterEach(rules::check);
     state.onWrite.add(this::checkFence);
+    state.onWrite.add(this::checkFinished);
   }
 
   private static String meshOf(String member) {
@@ -248,6 +251,29 @@
     }
   }
 
+  private final Map<String, BitSet> finishedTasks = new HashMap<>();
+
+  /** Known to the stand-in alone: a record of finished tasks that has lost some. */
+  private void checkFinished(String key) {
+    if (!key.startsWith("live/finished/")) {
+      return;
+    }
+    BitSet now = new BitSet();
+    for (Fields value : state.values(key)) {
+      if (value.map().get("r") instanceof List<?> ranges) {
+        for (int i = 0; i + 1 < ranges.size(); i += 2) {
+          now.set(((Number) ranges.get(i)).intValue(), ((Number) ranges.get(i + 1)).intValue() + 1);
+        }
+      }
+    }
+    BitSet lost = finishedTasks.getOrDefault(key, new BitSet());
+    lost.andNot(now);
+    if (!lost.isEmpty()) {
+      throw new AssertionError("t=" + world.now() + " " + key + " has lost " + lost);
+    }
+    finishedTasks.put(key, now);
+  }
+
   int withheld;
 
   /** The next round record that a controller sends arrives so much later. */
--- a/src/main/java/fennelthread/lead/Completions.java
+++ b/src/main/java/fennelthread/lead/Completions.java
@@ -10,6 +10,7 @@
 import fennelthread.net.Host;
 import fennelthread.state.Keys;
 import fennelthread.state.Limits;
+import fennelthread.state.Replica;
 import fennelthread.state.StateClient;
 import fennelthread.state.Txn;
 import fennelthread.state.TxnResult;
@@ -46,6 +47,7 @@
 
   private final Host host;
   private final StateClient state;
+  private final Replica replica;
   private final JobStore store;
   private final Limits limits;
   private final Lease lease;
@@ -61,6 +63,7 @@
   Completions(
       Host host,
       StateClient state,
+      Replica replica,
       JobStore store,
       Lease lease,
       Fleet fleet,
@@ -69,6 +72,7 @@
       Runnable changed) {
     this.host = host;
     this.state = state;
+    this.replica = replica;
     this.store = store;
     this.limits = state.limits();
     this.lease = lease;
@@ -232,9 +236,11 @@
         break;
       }
       any = true;
-      txn.write(
-          Keys.finished(id, chunk),
-          Job.writeChunk(chunk, run.finishedTasks(), limits.valueBytes(), covered));
+      String key = Keys.finished(id, chunk);
+      // A batch without an answer may be carried out after a newer one: it must not take back what that one holds,
+      // since the workers were told to forget those tasks.
+      txn.when(key, replica.revisionOf(key))
+          .write(key, Job.writeChunk(chunk, run.finishedTasks(), limits.valueBytes(), covered));
     }
     if (any) {
       txn.when(Keys.job(id), run.job().revision());
--- a/src/main/java/fennelthread/lead/Term.java
+++ b/src/main/java/fennelthread/lead/Term.java
@@ -123,7 +123,8 @@
             rentals::demand,
             flavors, spare);
     this.completions =
-        new Completions(host, state, store, lease, fleet, runs, runTimes, rounds::changed);
+        new Completions(
+            host, state, replica, store, lease, fleet, runs, runTimes, rounds::changed);
     this.sweeper = new Sweeper(host, state, replica, table, lease, fleet, rounds, spare);
     addresses.forEach((name, address) -> fleet.probe(fleet.learn(name, address)));
     awaitReplica();
--- a/src/test/java/fennelthread/lab/MeetingsTest.java
+++ b/src/test/java/fennelthread/lab/MeetingsTest.java
@@ -211,6 +211,45 @@
     assertEquals(0, c.rules.startsAfterDone, "completed tasks started again");
   }
 
+  /**
+   * A batch of finished tasks that gets no answer is carried out after newer ones of the same leader, and all
+   * controllers end then: the next leader knows of every task whose end a worker was told to clear.
+   */
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3, 4})
+  void aLateBatchOfFinishedTasksTakesNothingBack(long seed) {
+    Cluster c = settled(seed);
+    long[] carriedOutAt = {Long.MAX_VALUE};
+    int[] ends = new int[1];
+    c.state.delay =
+        (caller, body) -> {
+          if (ends[0] > 0 || carriedOutAt[0] != Long.MAX_VALUE || !body.contains("live/finished/")) {
+            return 0;
+          }
+          carriedOutAt[0] = c.world.now() + 8_000;
+          return 8_000;
+        };
+    List<JobSpec> jobs = new ArrayList<>();
+    for (int i = 0; i < 3; i++) {
+      JobSpec job = lasting(c, 60, 14);
+      jobs.add(job);
+      c.submit(job);
+    }
+    for (int i = 0; i < 60_000 / 5 && ends[0] == 0; i++) {
+      c.world.runUntil(c.world.now() + 5);
+      if (c.world.now() > carriedOutAt[0]) {
+        ends[0]++;
+        // All of them: a follower that saw the newer batch come would remember it.
+        List.copyOf(c.controllers.keySet()).forEach(m -> c.crash(m, 300));
+      }
+    }
+    assertEquals(1, ends[0], "no batch came late");
+    assertTrue(jobs.stream().noneMatch(job -> c.rules.allCompleted(job.id())), "too late to matter");
+    // That no record of finished tasks loses one is checked with each write (Cluster).
+    settle(c, List.of(), jobs);
+    assertEquals(0, c.rules.startsAfterDone, "completed tasks started again");
+  }
+
   // ---------------------------------------------------------------- machines can't be reached when the leader ends
 
   /**
