Tests of clusters begin in one place: Scenes

Six test classes repeated the same opening: a settled cluster, services that run, a look every 50 ms until something holds. No other assertion, bound or literal changed.

--- a/src/test/java/fennelthread/lab/CopiesTest.java
+++ b/src/test/java/fennelthread/lab/CopiesTest.java
@@ -28,11 +28,7 @@
   };
 
   private static Cluster settled(long seed) {
-    Cluster c = new Cluster(seed, Deployment.large(MACHINES));
-    c.world.loss = 0;
-    c.world.late = 0;
-    c.world.runUntil(20_000);
-    return c;
+    return Scenes.settled(seed, Deployment.large(MACHINES), 0);
   }
 
   private static void copyAll(Cluster c, double share, long forMs) {
@@ -41,18 +37,6 @@
     }
   }
 
-  private static List<JobSpec> services(Cluster c, int count) {
-    List<JobSpec> services = new ArrayList<>();
-    for (int i = 0; i < count; i++) {
-      JobSpec job = c.plain(true, 4);
-      services.add(job);
-      c.world.after(i * 100L, () -> c.submit(job));
-    }
-    c.world.runUntil(c.world.now() + 15_000);
-    assertTrue(c.allRun(services));
-    return services;
-  }
-
   private static WorkerStandIn hostOf(Cluster c, JobSpec job) {
     return c.cloud.machines().values().stream()
         .filter(w -> c.rules.isOn(job.id(), w))
@@ -97,7 +81,7 @@
   @ValueSource(longs = {11, 12, 13})
   void copiesAloneDoNoHarm(long seed) {
     Cluster c = settled(seed);
-    List<JobSpec> services = services(c, 15);
+    List<JobSpec> services = Scenes.services(c, 15, 100, 15_000);
     int before = c.rules.starts;
     int takeovers = c.state.takeovers;
     copyAll(c, 0.5, 60_000);
@@ -121,7 +105,7 @@
   @CsvSource({"21,false", "22,false", "23,true", "24,true", "25,true"})
   void copiesHideNoDeath(long seed, boolean leaderToo) {
     Cluster c = settled(seed);
-    List<JobSpec> services = services(c, 15);
+    List<JobSpec> services = Scenes.services(c, 15, 100, 15_000);
     c.world.copy(new World.Copies("/agent/beat", 0.9, 500, LATEST_MS), 15_000);
     c.world.runUntil(c.world.now() + 15_000);
     WorkerStandIn dead = hostOf(c, services.get(0));
@@ -129,11 +113,7 @@
     if (leaderToo) {
       c.crash(c.leader(), 3_000);
     }
-    long from = c.world.now();
-    while (!c.allRun(services) && c.world.now() < from + 60_000) {
-      c.world.runUntil(c.world.now() + 50);
-    }
-    long took = c.world.now() - from;
+    long took = Scenes.until(c, 60_000, () -> c.allRun(services));
     assertTrue(took < (leaderToo ? 12_000 : 8_500), "whole after " + took + " ms");
     c.world.runUntil(c.world.now() + 40_000);
     assertTrue(c.allRun(services));
@@ -147,17 +127,13 @@
   @ValueSource(longs = {26, 27, 28})
   void copiesRenewNoLease(long seed) {
     Cluster c = settled(seed);
-    List<JobSpec> services = services(c, 15);
+    List<JobSpec> services = Scenes.services(c, 15, 100, 15_000);
     c.cloud.outage(80_000);
     c.world.copy(new World.Copies("/agent/beat", 0.9, 500, LATEST_MS), 15_000);
     c.world.runUntil(c.world.now() + 15_000);
     WorkerStandIn dead = hostOf(c, services.get(0));
     c.cloud.end(dead, true);
-    long from = c.world.now();
-    while (!c.allRun(services) && c.world.now() < from + 60_000) {
-      c.world.runUntil(c.world.now() + 50);
-    }
-    long took = c.world.now() - from;
+    long took = Scenes.until(c, 60_000, () -> c.allRun(services));
     assertTrue(took < 14_000, "whole after " + took + " ms");
   }
 
@@ -166,7 +142,7 @@
   @CsvSource({"31,20", "32,50", "33,300", "34,4000"})
   void takeoversWithCopiesFromBefore(long seed, long downMs) {
     Cluster c = settled(seed);
-    List<JobSpec> services = services(c, 15);
+    List<JobSpec> services = Scenes.services(c, 15, 100, 15_000);
     int before = c.rules.starts;
     copyAll(c, 0.5, 80_000);
     for (int i = 0; i < 5; i++) {
--- a/src/test/java/fennelthread/lab/GapTest.java
+++ b/src/test/java/fennelthread/lab/GapTest.java
@@ -59,30 +59,10 @@
     TWICE
   }
 
-  private static Cluster settled(long seed, Deployment deployment) {
-    Cluster c = new Cluster(seed, deployment);
-    c.world.loss = 0.0005;
-    c.world.late = 0;
-    c.world.runUntil(20_000);
-    return c;
-  }
-
   private static Deployment deployment() {
     return Deployment.large(MACHINES).withLease(REPORT_MS, LEASE_MS, CANCEL_MS);
   }
 
-  private static List<JobSpec> services(Cluster c, int count) {
-    List<JobSpec> services = new ArrayList<>();
-    for (int i = 0; i < count; i++) {
-      JobSpec job = c.plain(true, 4);
-      services.add(job);
-      c.world.after(i * 50L, () -> c.submit(job));
-    }
-    c.world.runUntil(c.world.now() + 20_000);
-    assertTrue(c.allRun(services));
-    return services;
-  }
-
   private static List<String> others(Cluster c, String leader) {
     return c.controllers.keySet().stream().filter(m -> !m.equals(leader)).toList();
   }
@@ -170,8 +150,8 @@
   }
 
   private static void play(long seed, long leadMs, double outages, With with) {
-    Cluster c = settled(seed, deployment());
-    List<JobSpec> services = with == With.SAVING ? savers(c) : services(c, SERVICES);
+    Cluster c = Scenes.settled(seed, deployment(), 0.0005);
+    List<JobSpec> services = with == With.SAVING ? savers(c) : Scenes.services(c, SERVICES, 50, 20_000);
     List<JobSpec> cancelled = services.subList(0, CANCELLED);
     long outageMs = (long) (outages * CANCEL_MS);
     int there = gap(c, cancelled, leadMs, outageMs, with);
@@ -257,8 +237,8 @@
   void thousandsAtOnce() {
     long seed = 1;
     Settings.State roomy = new Settings.State(9_000, 9_000, 8 * 1024, 16);
-    Cluster c = settled(seed, deployment().withLimits(roomy));
-    List<JobSpec> services = services(c, 20);
+    Cluster c = Scenes.settled(seed, deployment().withLimits(roomy), 0.0005);
+    List<JobSpec> services = Scenes.services(c, 20, 50, 20_000);
     List<JobSpec> waiting = new ArrayList<>();
     for (int i = 0; i < 4_980; i++) {
       JobSpec job = c.plain(false, 1);
@@ -282,8 +262,8 @@
   @ParameterizedTest
   @CsvSource({"1,26000", "2,26000", "3,30000", "4,36000"})
   void littleRoomBesideTheLease(long seed, long cancelMs) {
-    Cluster c = settled(seed, Deployment.large(MACHINES).withLease(REPORT_MS, LEASE_MS, cancelMs));
-    List<JobSpec> services = services(c, SERVICES);
+    Cluster c = Scenes.settled(seed, Deployment.large(MACHINES).withLease(REPORT_MS, LEASE_MS, cancelMs), 0.0005);
+    List<JobSpec> services = Scenes.services(c, SERVICES, 50, 20_000);
     int before = c.rules.starts;
     c.world.runUntil(c.world.now() + 60_000);
     assertEquals(before, c.rules.starts, "started again on a quiet day");
--- a/src/test/java/fennelthread/lab/KeepTest.java
+++ b/src/test/java/fennelthread/lab/KeepTest.java
@@ -5,7 +5,6 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import fennelthread.wire.JobSpec;
-import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -28,7 +27,7 @@
   @CsvSource({"1,norte", "2,norte", "3,sur", "4,sur", "5,norte", "6,sur"})
   void withdrawnJobsEndInAZoneThatIsCutOff(long seed, String zone) {
     Cluster c = settled(seed, List.of("norte", "sur"));
-    List<JobSpec> services = services(c, 20);
+    List<JobSpec> services = Scenes.services(c, 20, 100, 20_000);
     c.world.cutZone(zone, 100_000);
     for (int i = 0; i < 15; i++) {
       String id = services.get(i).id();
@@ -53,7 +52,7 @@
   @CsvSource({"1,norte", "2,norte", "3,sur", "4,sur", "5,norte", "6,sur"})
   void whatRunsInAZoneThatIsCutOffGoesOn(long seed, String zone) {
     Cluster c = settled(seed, List.of("norte", "sur"));
-    List<JobSpec> services = services(c, 20);
+    List<JobSpec> services = Scenes.services(c, 20, 100, 20_000);
     int before = c.rules.starts;
     c.world.cutZone(zone, 40_000);
     c.world.runUntil(c.world.now() + 70_000);
@@ -67,7 +66,7 @@
   @ValueSource(longs = {11, 12, 13, 14})
   void theLeaderEndsInTheCut(long seed) {
     Cluster c = settled(seed, List.of("norte", "sur"));
-    List<JobSpec> services = services(c, 20);
+    List<JobSpec> services = Scenes.services(c, 20, 100, 20_000);
     int before = c.rules.starts;
     // Two controllers are in norte: whichever of the three ends, one that knew its leader is left there.
     c.world.cutZone("norte", 38_000);
@@ -82,7 +81,7 @@
   @Test
   void nobodyKeepsAZoneWithoutAController() {
     Cluster c = settled(21, List.of("norte", "sur", "este", "oeste"));
-    List<JobSpec> services = services(c, 20);
+    List<JobSpec> services = Scenes.services(c, 20, 100, 20_000);
     int before = c.rules.starts;
     c.world.cutZone("oeste", 60_000);
     c.world.runUntil(c.world.now() + 40_000);
@@ -95,7 +94,7 @@
   @ValueSource(longs = {31, 32, 33})
   void theLeaderEndsInAnOutage(long seed) {
     Cluster c = settled(seed, List.of("norte", "sur"));
-    List<JobSpec> services = services(c, 20);
+    List<JobSpec> services = Scenes.services(c, 20, 100, 20_000);
     int before = c.rules.starts;
     c.state.outage(36_000);
     c.world.runUntil(c.world.now() + 500);
@@ -111,7 +110,7 @@
   @Test
   void aLongOutageCostsNothing() {
     Cluster c = settled(41, List.of("norte", "sur"));
-    List<JobSpec> services = services(c, 20);
+    List<JobSpec> services = Scenes.services(c, 20, 100, 20_000);
     int before = c.rules.starts;
     c.state.outage(600_000);
     c.world.runUntil(c.world.now() + 620_000);
@@ -125,22 +124,7 @@
   }
 
   private static Cluster settled(long seed, List<String> zones) {
-    Cluster c = new Cluster(seed, Deployment.large(MACHINES).withZones(zones).withLease(4_000, 22_000, 50_000));
-    c.world.loss = 0.0005;
-    c.world.late = 0;
-    c.world.runUntil(20_000);
-    return c;
-  }
-
-  private static List<JobSpec> services(Cluster c, int count) {
-    List<JobSpec> services = new ArrayList<>();
-    for (int i = 0; i < count; i++) {
-      JobSpec job = c.plain(true, 4);
-      services.add(job);
-      c.world.after(i * 100, () -> c.submit(job));
-    }
-    c.world.runUntil(c.world.now() + 20_000);
-    assertTrue(c.allRun(services));
-    return services;
+    return Scenes.settled(
+        seed, Deployment.large(MACHINES).withZones(zones).withLease(4_000, 22_000, 50_000), 0.0005);
   }
 }
--- a/src/test/java/fennelthread/lab/MeetingsTest.java
+++ b/src/test/java/fennelthread/lab/MeetingsTest.java
@@ -25,23 +25,7 @@
   private static final int MACHINES = 60;
 
   private static Cluster settled(long seed) {
-    Cluster c = new Cluster(seed, Deployment.large(MACHINES));
-    c.world.loss = 0;
-    c.world.late = 0;
-    c.world.runUntil(20_000);
-    return c;
-  }
-
-  private static List<JobSpec> services(Cluster c, int count) {
-    List<JobSpec> services = new ArrayList<>();
-    for (int i = 0; i < count; i++) {
-      JobSpec job = c.plain(true, 4);
-      services.add(job);
-      c.world.after(i * 100L, () -> c.submit(job));
-    }
-    c.world.runUntil(c.world.now() + 15_000);
-    assertTrue(c.allRun(services));
-    return services;
+    return Scenes.settled(seed, Deployment.large(MACHINES), 0);
   }
 
   private static JobSpec lasting(Cluster c, int tasks, double estimateS) {
@@ -90,7 +74,7 @@
   @ValueSource(longs = {1, 2, 3, 4})
   void commandsAreHeldAndTheMachineGoesOn(long seed) {
     Cluster c = settled(seed);
-    List<JobSpec> services = services(c, 10);
+    List<JobSpec> services = Scenes.services(c, 10, 100, 15_000);
     c.world.hold(new World.Held("/commands", false, 0.25, 2_000, 60_000), 60_000);
     c.world.hold(new World.Held("/commands", true, 0.15, 2_000, 60_000), 60_000);
     List<JobSpec> jobs = busy(c, 80, 700);
@@ -127,7 +111,7 @@
   @CsvSource({"1,0.1", "2,0.3", "3,0.3", "4,0.5", "5,0.2", "6,0.3"})
   void transactionsAreCarriedOutLate(long seed, double share) {
     Cluster c = settled(seed);
-    List<JobSpec> services = services(c, 10);
+    List<JobSpec> services = Scenes.services(c, 10, 100, 15_000);
     c.state.lateWrites(share, 70_000);
     List<JobSpec> jobs = busy(c, 80, 800);
     for (int i = 0; i < 4; i++) {
@@ -174,7 +158,7 @@
   @CsvSource({"1,50,0", "2,300,0", "3,4000,0", "4,50,0.3", "5,4000,0.3"})
   void smallJobsEndFarApart(long seed, long downMs, double lateShare) {
     Cluster c = settled(seed);
-    List<JobSpec> services = services(c, 6);
+    List<JobSpec> services = Scenes.services(c, 6, 100, 15_000);
     List<JobSpec> jobs = new ArrayList<>();
     for (int i = 0; i < 40; i++) {
       JobSpec job = lasting(c, 2 + i % 2, 1 + i % 5 * 9);
@@ -260,7 +244,7 @@
   @CsvSource({"1,false", "2,true", "3,false", "4,true"})
   void theLeaderEndsWhileMachinesCanNotBeReached(long seed, boolean oneWay) {
     Cluster c = settled(seed);
-    List<JobSpec> services = services(c, 8);
+    List<JobSpec> services = Scenes.services(c, 8, 100, 15_000);
     List<JobSpec> jobs = new ArrayList<>();
     for (int i = 0; i < 12; i++) {
       JobSpec job = lasting(c, 6, 60);
@@ -307,7 +291,7 @@
   })
   void aLeaderAloneWithItsWorkers(long seed, long forMs, String outage) {
     Cluster c = settled(seed);
-    List<JobSpec> services = services(c, 20);
+    List<JobSpec> services = Scenes.services(c, 20, 100, 15_000);
     String old = c.leader();
     if (outage.equals("before")) {
       c.state.outage(12_000);
@@ -362,7 +346,7 @@
       }
     }
     c.world.runUntil(c.world.now() + 16_000);
-    List<JobSpec> services = services(c, 12);
+    List<JobSpec> services = Scenes.services(c, 12, 100, 15_000);
     c.world.copy(new World.Copies("/agent/beat", 0.4, 200, 30_000), 70_000);
     c.world.hold(new World.Held("/commands", false, 0.1, 500, 30_000), 70_000);
     List<JobSpec> jobs = busy(c, 60, 1_000);
--- a/src/test/java/fennelthread/lab/RestartTest.java
+++ b/src/test/java/fennelthread/lab/RestartTest.java
@@ -40,7 +40,7 @@
     for (long seed = 1; seed <= 3; seed++) {
       for (long downMs : new long[] {50, 300, 1_000}) {
         Cluster c = settled(seed);
-        List<JobSpec> services = services(c, 10);
+        List<JobSpec> services = Scenes.services(c, 10, 100, 15_000);
         int before = c.rules.starts;
         int[] crashes = new int[1];
         c.state.onWrite.add(
@@ -85,7 +85,7 @@
   @ValueSource(longs = {50, 300})
   void aProcessThatEndsAtOnceEachTime(long downMs) {
     Cluster c = settled(5);
-    List<JobSpec> services = services(c, 10);
+    List<JobSpec> services = Scenes.services(c, 10, 100, 15_000);
     int before = c.rules.starts;
     String faulty = c.leader();
     int led = 0;
@@ -110,7 +110,7 @@
   @Test
   void twoInTurns() {
     Cluster c = settled(6);
-    List<JobSpec> services = services(c, 10);
+    List<JobSpec> services = Scenes.services(c, 10, 100, 15_000);
     int before = c.rules.starts;
     String third = c.leader();
     List<String> two = c.controllers.keySet().stream().filter(m -> !m.equals(third)).toList();
@@ -128,7 +128,7 @@
   @CsvSource({"50,60", "300,60", "50,480"})
   void allOfThemAgainAndAgain(long downMs, int machines) {
     Cluster c = settled(7, machines);
-    List<JobSpec> services = services(c, 10);
+    List<JobSpec> services = Scenes.services(c, 10, 100, 15_000);
     int before = c.rules.starts;
     for (int i = 0; i < 13; i++) {
       c.controllers.keySet().forEach(m -> c.crash(m, downMs));
@@ -148,7 +148,7 @@
   @ValueSource(longs = {11, 12, 13})
   void backDuringAnOutage(long seed) {
     Cluster c = settled(seed);
-    List<JobSpec> services = services(c, 10);
+    List<JobSpec> services = Scenes.services(c, 10, 100, 15_000);
     int before = c.rules.starts;
     c.state.outage(5_000);
     c.world.runUntil(c.world.now() + 800);
@@ -177,7 +177,7 @@
     c.world.loss = 0;
     c.world.late = 0;
     c.world.runUntil(15_000);
-    List<JobSpec> services = services(c, 10);
+    List<JobSpec> services = Scenes.services(c, 10, 100, 15_000);
     List<String> members = List.copyOf(c.controllers.keySet());
     for (int i = 0; i < 6; i++) {
       c.crash(members.get(i % 3), 50);
@@ -242,23 +242,6 @@
   }
 
   private static Cluster settled(long seed, int machines) {
-    Cluster c =
-        new Cluster(seed, Deployment.large(machines).withLease(4_000, 22_000, 50_000));
-    c.world.loss = 0;
-    c.world.late = 0;
-    c.world.runUntil(20_000);
-    return c;
-  }
-
-  private static List<JobSpec> services(Cluster c, int count) {
-    List<JobSpec> services = new ArrayList<>();
-    for (int i = 0; i < count; i++) {
-      JobSpec job = c.plain(true, 4);
-      services.add(job);
-      c.world.after(i * 100L, () -> c.submit(job));
-    }
-    c.world.runUntil(c.world.now() + 15_000);
-    assertTrue(c.allRun(services));
-    return services;
+    return Scenes.settled(seed, Deployment.large(machines).withLease(4_000, 22_000, 50_000), 0);
   }
 }
--- /dev/null
+++ b/src/test/java/fennelthread/lab/Scenes.java
@@ -0,0 +1,44 @@
+package fennelthread.lab;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import fennelthread.wire.JobSpec;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.BooleanSupplier;
+
+/** How most tests of clusters begin: controllers that serve, and services that run on the machines. */
+final class Scenes {
+  private Scenes() {}
+
+  /** A cluster that has run for 20 s, on a network that loses so large a share of packets and delivers none late. */
+  static Cluster settled(long seed, Deployment deployment, double loss) {
+    Cluster c = new Cluster(seed, deployment);
+    c.world.loss = loss;
+    c.world.late = 0;
+    c.world.runUntil(20_000);
+    return c;
+  }
+
+  /** Services of four replicas, submitted one every so often, all of which run after {@code settleMs}. */
+  static List<JobSpec> services(Cluster c, int count, long everyMs, long settleMs) {
+    List<JobSpec> services = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      JobSpec job = c.plain(true, 4);
+      services.add(job);
+      c.world.after(i * everyMs, () -> c.submit(job));
+    }
+    c.world.runUntil(c.world.now() + settleMs);
+    assertTrue(c.allRun(services));
+    return services;
+  }
+
+  /** Runs until something holds, or for so long at the most; gives the time that it took, ms. */
+  static long until(Cluster c, long mostMs, BooleanSupplier holds) {
+    long from = c.world.now();
+    while (c.world.now() < from + mostMs && !holds.getAsBoolean()) {
+      c.world.runUntil(c.world.now() + 50);
+    }
+    return c.world.now() - from;
+  }
+}
--- a/src/test/java/fennelthread/lab/UntoldTest.java
+++ b/src/test/java/fennelthread/lab/UntoldTest.java
@@ -8,7 +8,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
-import java.util.function.BooleanSupplier;
 import java.util.stream.Collectors;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -22,26 +21,7 @@
   private static final int MACHINES = 60;
 
   private static Cluster settled(long seed) {
-    return settled(new Cluster(seed, Deployment.large(MACHINES)));
-  }
-
-  private static Cluster settled(Cluster c) {
-    c.world.loss = 0;
-    c.world.late = 0;
-    c.world.runUntil(20_000);
-    return c;
-  }
-
-  private static List<JobSpec> services(Cluster c, int count) {
-    List<JobSpec> services = new ArrayList<>();
-    for (int i = 0; i < count; i++) {
-      JobSpec job = c.plain(true, 4);
-      services.add(job);
-      c.world.after(i * 100L, () -> c.submit(job));
-    }
-    c.world.runUntil(c.world.now() + 15_000);
-    assertTrue(c.allRun(services));
-    return services;
+    return Scenes.settled(seed, Deployment.large(MACHINES), 0);
   }
 
   private static List<WorkerStandIn> carrying(Cluster c) {
@@ -50,14 +30,6 @@
     return c.cloud.machines().values().stream().filter(w -> names.contains(w.name())).toList();
   }
 
-  private static long until(Cluster c, long mostMs, BooleanSupplier holds) {
-    long from = c.world.now();
-    while (c.world.now() < from + mostMs && !holds.getAsBoolean()) {
-      c.world.runUntil(c.world.now() + 50);
-    }
-    return c.world.now() - from;
-  }
-
   private static boolean nothingOn(Cluster c, List<WorkerStandIn> machines, List<JobSpec> services) {
     return machines.stream().noneMatch(w -> services.stream().anyMatch(s -> c.rules.isOn(s.id(), w)));
   }
@@ -67,11 +39,11 @@
   @CsvSource({"1,1", "2,1", "3,6", "4,6", "5,6"})
   void replicasOfMachinesThatHearNothingGoElsewhere(long seed, int count) {
     Cluster c = settled(seed);
-    List<JobSpec> services = services(c, 15);
+    List<JobSpec> services = Scenes.services(c, 15, 100, 15_000);
     List<WorkerStandIn> untold = carrying(c).subList(0, count);
     untold.forEach(w -> c.world.cutOneWay("nodo", w.name(), 90_000));
     c.world.runUntil(c.world.now() + 100);
-    long took = until(c, 60_000, () -> nothingOn(c, untold, services) && c.allRun(services));
+    long took = Scenes.until(c, 60_000, () -> nothingOn(c, untold, services) && c.allRun(services));
     assertTrue(took < 9_500, "whole after " + took + " ms");
     c.world.runUntil(c.world.now() + 40_000);
     for (WorkerStandIn w : untold) {
@@ -85,7 +57,7 @@
   @ValueSource(longs = {11, 12, 13})
   void whoeverOnlyTheLeaderCanNotTellIsToldBySiblings(long seed) {
     Cluster c = settled(seed);
-    List<JobSpec> services = services(c, 15);
+    List<JobSpec> services = Scenes.services(c, 15, 100, 15_000);
     int before = c.rules.starts;
     String leader = c.leader();
     c.world.cutOneWay(leader, "n-", 40_000);
@@ -104,12 +76,12 @@
   @ValueSource(longs = {21, 22, 23})
   void theNextLeaderNeverReachesThem(long seed) {
     Cluster c = settled(seed);
-    List<JobSpec> services = services(c, 15);
+    List<JobSpec> services = Scenes.services(c, 15, 100, 15_000);
     List<WorkerStandIn> untold = carrying(c).subList(0, 6);
     untold.forEach(w -> c.world.cutOneWay("nodo", w.name(), 90_000));
     c.world.runUntil(c.world.now() + 500);
     c.crash(c.leader(), 4_000);
-    long took = until(c, 60_000, () -> nothingOn(c, untold, services) && c.allRun(services));
+    long took = Scenes.until(c, 60_000, () -> nothingOn(c, untold, services) && c.allRun(services));
     assertTrue(took < 14_000, "whole after " + took + " ms");
     c.world.runUntil(c.world.now() + 30_000);
     assertTrue(c.allRun(services));
@@ -123,7 +95,7 @@
   @CsvSource({"31,false", "32,false", "33,true", "34,true"})
   void mostOfAFleetHearsNothingAndTheCloudIsOut(long seed, boolean takeover) {
     Cluster c = settled(seed);
-    List<JobSpec> services = services(c, 10);
+    List<JobSpec> services = Scenes.services(c, 10, 100, 15_000);
     c.cloud.outage(90_000);
     List<WorkerStandIn> all = List.copyOf(c.cloud.machines().values());
     List<WorkerStandIn> untold = new ArrayList<>();
@@ -137,7 +109,7 @@
       c.world.runUntil(c.world.now() + 500);
       c.crash(c.leader(), 4_000);
     }
-    long took = until(c, 60_000, () -> nothingOn(c, untold, services) && c.allRun(services));
+    long took = Scenes.until(c, 60_000, () -> nothingOn(c, untold, services) && c.allRun(services));
     assertTrue(took < (takeover ? 40_000 : 25_000), "whole after " + took + " ms");
     c.world.runUntil(c.world.now() + 100_000);
     assertTrue(c.allRun(services));
@@ -147,7 +119,7 @@
   @ParameterizedTest
   @ValueSource(longs = {41, 42})
   void whoHearsAgainIsUsedAgain(long seed) {
-    Cluster c = settled(new Cluster(seed, Deployment.tiny()));
+    Cluster c = Scenes.settled(seed, Deployment.tiny(), 0);
     c.cloud.outage(200_000);
     c.world.cutOneWay("nodo", "n-", 25_000);
     c.world.runUntil(c.world.now() + 32_000);
@@ -162,7 +134,7 @@
   @CsvSource({"51,2500", "52,4000", "53,6000", "54,11000"})
   void flapping(long seed, long everyMs) {
     Cluster c = settled(seed);
-    List<JobSpec> services = services(c, 10);
+    List<JobSpec> services = Scenes.services(c, 10, 100, 15_000);
     List<WorkerStandIn> some = carrying(c).subList(0, 8);
     for (long at = 0; at < 60_000; at += 2 * everyMs) {
       c.world.after(at, () -> some.forEach(w -> c.world.cutOneWay("nodo", w.name(), everyMs)));
@@ -187,13 +159,13 @@
   @ValueSource(longs = {61, 62})
   void aWholeZone(long seed) {
     Cluster c = settled(seed);
-    List<JobSpec> services = services(c, 10);
+    List<JobSpec> services = Scenes.services(c, 10, 100, 15_000);
     for (WorkerStandIn w : c.cloud.machines().values()) {
       if (w.zone().equals("sur")) {
         c.world.cutOneWay("nodo", w.name(), 45_000);
       }
     }
-    long took = until(c, 60_000, () -> c.allRun(services) && c.world.now() > 50_000);
+    long took = Scenes.until(c, 60_000, () -> c.allRun(services) && c.world.now() > 50_000);
     assertNotNull(c.leader());
     assertTrue(took < 30_000, "whole after " + took + " ms");
     c.world.runUntil(c.world.now() + 80_000);
