Review: a leader that was alone from its election on stops starting tasks after 5 s

From the list of what was found by reading (docs/ROADMAP.md): the time until which promises protect is the smallest number, and subtracting overflows.

--- a/review/standins/Cluster.java
+++ b/review/standins/Cluster.java
@@ -17,6 +17,9 @@
   /** The CPUs and the run time, s, of the tasks of each job that a user has uploaded. */
   final Map<String, double[]> jobs = new ConcurrentHashMap<>();
 
+  /** When the first task of each job was started, s. */
+  private final Map<String, Double> startsS = new ConcurrentHashMap<>();
+
   /** What differs between the deployments: limits of the state service, and the workers' times. */
   record Site(
       int rps, int writeRps, int valueKb, int txnOps, long reportMs, long leaseMs, long cancelMs) {
@@ -39,7 +42,13 @@
       workers.add(
           new Worker(
               "n-00000" + i, controllers.names(), controllers.api(), Cloud.CPUS, site.reportMs,
-              site.leaseMs, jobs::get, record::add));
+              site.leaseMs, jobs::get,
+              (kind, text) -> {
+                record.add(kind, text);
+                if (kind.equals("start")) {
+                  startsS.putIfAbsent(text.substring(0, text.indexOf('/')), record.seconds());
+                }
+              }));
     }
     Cloud cloud = new Cloud(workers);
     controllers.configure(
@@ -57,6 +66,16 @@
     return workers.stream().mapToInt(Worker::started).sum();
   }
 
+  /** When the first task of a job was started, s; null if none was. */
+  Double startedAtS(String job) {
+    return startsS.get(job);
+  }
+
+  /** How many machines run nothing. */
+  int idleMachines() {
+    return (int) workers.stream().filter(Worker::isIdle).count();
+  }
+
   private static String settings(Site site) {
     return """
         [cluster]
--- a/review/standins/Controllers.java
+++ b/review/standins/Controllers.java
@@ -22,6 +22,7 @@
   private final List<String> mesh = new ArrayList<>();
   private final Process[] processes;
   private final int[] selfEnded;
+  private final boolean[] killed;
   private volatile boolean stopping;
 
   Controllers(
@@ -33,6 +34,7 @@
     this.restartDelayMs = restartDelayMs;
     this.processes = new Process[count];
     this.selfEnded = new int[count];
+    this.killed = new boolean[count];
     Matcher run =
         Pattern.compile("(?m)^run = \"(.*)\"$")
             .matcher(Files.readString(root.resolve("deploy/service.toml")));
@@ -108,7 +110,7 @@
     while (!stopping) {
       for (int i = 0; i < processes.length; i++) {
         Process process = processes[i];
-        if (!stopping && process != null && !process.isAlive()) {
+        if (!stopping && process != null && !process.isAlive() && !killed[i]) {
           selfEnded[i]++;
           record.accept(
               "process", names.get(i) + " ended by itself, exit code " + process.exitValue());
@@ -151,6 +153,19 @@
     new ProcessBuilder("kill", "-" + signal, Long.toString(processes[i].pid())).start().waitFor();
   }
 
+  /** Ends a controller without a signal that it could handle; the platform does not restart it. */
+  synchronized void kill(int i) {
+    record.accept("kill", names.get(i));
+    killed[i] = true;
+    processes[i].destroyForcibly();
+  }
+
+  /** Starts a killed controller again. */
+  synchronized void restart(int i) throws IOException {
+    start(i);
+    killed[i] = false;
+  }
+
   /** Ends all controllers. */
   synchronized void stop() {
     stopping = true;
--- a/review/standins/Worker.java
+++ b/review/standins/Worker.java
@@ -79,6 +79,11 @@
     return started;
   }
 
+  /** True if no task runs here. */
+  synchronized boolean isIdle() {
+    return !gone && tasks.values().stream().noneMatch(task -> task.motivo == null);
+  }
+
   /** The machine is returned: everything on it is gone. */
   synchronized void remove() {
     gone = true;
