HTTP server: no request is answered before it is handled

Seen by callers: a submission whose body came in a later packet than its head got an empty 200 at once. Cause: Undertow calls a receiver's callback as a root handler of its own if the body was not complete at the first read, and ends the exchange with an empty 200 when it returns without an answer and without dispatch. Evidence: a stack trace at each response's commit: every empty 200 came from AsyncReceiverImpl, executeRootHandler, endExchange, none from respond. Both listeners, fixed length and chunked; answers given during the call were right. Change: the receiver's callbacks dispatch to the same thread, as the first handler does. A second answer is logged.

--- a/src/main/java/fennelthread/net/HttpServer.java
+++ b/src/main/java/fennelthread/net/HttpServer.java
@@ -11,6 +11,7 @@
 import io.undertow.server.ServerConnection;
 import io.undertow.util.Headers;
 import io.undertow.util.SameThreadExecutor;
+import java.io.IOException;
 import java.nio.ByteBuffer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -83,10 +84,21 @@
       if (inbound.recordRequest(exchange.getConnection())) {
         exchange.getConnection().addCloseListener(inbound::recordClosed);
       }
-      exchange.dispatch(SameThreadExecutor.INSTANCE, () -> read(exchange, service));
+      runOutsideHandler(exchange, () -> read(exchange, service));
     };
   }
 
+  /**
+   * Runs a task after Undertow's current call of a handler, or immediately if there is none. When a
+   * handler returns that has neither answered nor dispatched, Undertow ends the exchange with an
+   * empty response of status 200, so whatever may answer later runs outside. That holds for the
+   * callbacks of a receiver too: if the end of a body arrives after its start, they are called as
+   * handlers.
+   */
+  private static void runOutsideHandler(HttpServerExchange exchange, Runnable task) {
+    exchange.dispatch(SameThreadExecutor.INSTANCE, task);
+  }
+
   private void read(HttpServerExchange exchange, Service service) {
     String method = exchange.getRequestMethod().toString();
     String path = exchange.getRequestPath();
@@ -102,20 +114,29 @@
     exchange
         .getRequestReceiver()
         .receiveFullBytes(
-            (received, body) -> {
-              if (body.length > ProtocolConstants.MAX_BODY_BYTES) {
-                refuseAsTooLarge(received);
-              } else {
-                serve(received, service, new Request(method, path, body));
-              }
-            },
-            (failed, failure) -> {
-              if (failure instanceof Receiver.RequestToLargeException) {
-                refuseAsTooLarge(failed);
-              } else {
-                IoUtils.safeClose(failed.getConnection());
-              }
-            });
+            (received, body) ->
+                runOutsideHandler(
+                    received, () -> serveWithBody(received, service, method, path, body)),
+            (failed, failure) ->
+                runOutsideHandler(failed, () -> endUnreadRequest(failed, failure)));
+  }
+
+  private void serveWithBody(
+      HttpServerExchange exchange, Service service, String method, String path, byte[] body) {
+    if (body.length > ProtocolConstants.MAX_BODY_BYTES) {
+      refuseAsTooLarge(exchange);
+    } else {
+      serve(exchange, service, new Request(method, path, body));
+    }
+  }
+
+  /** Ends a request whose body could not be read to its end. */
+  private void endUnreadRequest(HttpServerExchange exchange, IOException failure) {
+    if (failure instanceof Receiver.RequestToLargeException) {
+      refuseAsTooLarge(exchange);
+    } else {
+      IoUtils.safeClose(exchange.getConnection());
+    }
   }
 
   private void refuseAsTooLarge(HttpServerExchange exchange) {
@@ -137,6 +158,11 @@
 
   private void respond(HttpServerExchange exchange, Answer answer) {
     if (exchange.isResponseStarted()) {
+      log.error(
+          "request answered twice method={} path=\"{}\" unsentStatus={}",
+          exchange.getRequestMethod(),
+          exchange.getRequestPath(),
+          answer.status());
       return;
     }
     exchange.setStatusCode(answer.status());
