HTTP server: a client that waits for 100 Continue is asked for its body

Seen by callers: a request with "Expect: 100-continue" got no interim answer; a client that waits for it got no answer at all. Cause: Undertow's receiver does not send 100 Continue, and no handler of ours did. Change: 100 Continue is sent before the body is read, unless its length is above the limit.

--- a/src/main/java/fennelthread/net/HttpServer.java
+++ b/src/main/java/fennelthread/net/HttpServer.java
@@ -5,10 +5,13 @@
 import io.undertow.Undertow;
 import io.undertow.UndertowOptions;
 import io.undertow.connector.ByteBufferPool;
+import io.undertow.io.IoCallback;
 import io.undertow.io.Receiver;
+import io.undertow.io.Sender;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.server.ServerConnection;
+import io.undertow.server.protocol.http.HttpContinue;
 import io.undertow.util.Headers;
 import io.undertow.util.SameThreadExecutor;
 import java.io.IOException;
@@ -110,6 +113,35 @@
       refuseAsTooLarge(exchange);
       return;
     }
+    askForBody(exchange, () -> receiveBody(exchange, service, method, path));
+  }
+
+  /**
+   * Runs a task that reads a request's body; before that, tells a client to send the body if it
+   * waits to be told.
+   */
+  private static void askForBody(HttpServerExchange exchange, Runnable readBody) {
+    if (!HttpContinue.requiresContinueResponse(exchange)) {
+      readBody.run();
+      return;
+    }
+    HttpContinue.sendContinueResponse(
+        exchange,
+        new IoCallback() {
+          @Override
+          public void onComplete(HttpServerExchange asked, Sender sender) {
+            readBody.run();
+          }
+
+          @Override
+          public void onException(HttpServerExchange asked, Sender sender, IOException failure) {
+            IoUtils.safeClose(asked.getConnection());
+          }
+        });
+  }
+
+  private void receiveBody(
+      HttpServerExchange exchange, Service service, String method, String path) {
     exchange.getRequestReceiver().setMaxBufferSize(ProtocolConstants.MAX_BODY_BYTES);
     exchange
         .getRequestReceiver()
