net: one reader of bodies for the server and the client

Undertow's receiver calls back as a handler or not, depending on packets; BodyReader is the reader that the client had, now used on both sides, whose outcome is never told inside a handler's call.

--- a/src/main/java/fennelthread/constants/NetConstants.java
+++ b/src/main/java/fennelthread/constants/NetConstants.java
@@ -80,8 +80,8 @@
   /** Largest answer that is read, bytes: watches have no limit, so this only bounds memory. */
   public static final int MAX_ANSWER_BYTES = 8 * 1024 * 1024;
 
-  /** Initial size of the buffer for a response, bytes: most answers are shorter. */
-  public static final int INITIAL_RESPONSE_BUFFER_BYTES = 512;
+  /** Initial size of the buffer for a body that is read, bytes: most bodies are shorter. */
+  public static final int INITIAL_BODY_BUFFER_BYTES = 512;
 
   private NetConstants() {}
 }
--- a/src/main/java/fennelthread/net/HttpClient.java
+++ b/src/main/java/fennelthread/net/HttpClient.java
@@ -8,11 +8,9 @@
 import io.undertow.client.ClientResponse;
 import io.undertow.client.UndertowClient;
 import io.undertow.connector.ByteBufferPool;
-import io.undertow.connector.PooledByteBuffer;
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
 import io.undertow.util.Protocols;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.net.URI;
 import java.nio.ByteBuffer;
@@ -28,7 +26,6 @@
 import org.xnio.Options;
 import org.xnio.XnioIoThread;
 import org.xnio.channels.StreamSinkChannel;
-import org.xnio.channels.StreamSourceChannel;
 
 /**
  * The HTTP client of this process: pools connections to workers, peers, the state service and the
@@ -423,57 +420,40 @@
   }
 
   private void receive(PendingCall pending, ClientExchange exchange) {
-    StreamSourceChannel channel = exchange.getResponseChannel();
-    ResponseReader reader = new ResponseReader(pending, exchange.getResponse());
-    channel.getReadSetter().set(reader);
-    reader.handleEvent(channel);
+    ResponseOutcome outcome = new ResponseOutcome(pending, exchange.getResponse());
+    new BodyReader(buffers, NetConstants.MAX_ANSWER_BYTES, outcome)
+        .start(exchange.getResponseChannel());
   }
 
-  /** Reads the body of a response and finishes the call at its end. */
-  private final class ResponseReader implements ChannelListener<StreamSourceChannel> {
+  /** Finishes a call once the body of its response was read. */
+  private static final class ResponseOutcome implements BodyReader.Outcome {
     private final PendingCall pending;
     private final ClientResponse response;
-    private final ByteArrayOutputStream body =
-        new ByteArrayOutputStream(NetConstants.INITIAL_RESPONSE_BUFFER_BYTES);
 
-    ResponseReader(PendingCall pending, ClientResponse response) {
+    ResponseOutcome(PendingCall pending, ClientResponse response) {
       this.pending = pending;
       this.response = response;
     }
 
     @Override
-    public void handleEvent(StreamSourceChannel channel) {
-      try (PooledByteBuffer pooledBuffer = buffers.allocate()) {
-        ByteBuffer buffer = pooledBuffer.getBuffer();
-        while (true) {
-          buffer.clear();
-          int count = channel.read(buffer);
-          if (count == 0) {
-            channel.resumeReads();
-            return;
-          }
-          if (count < 0) {
-            pending.finish(createAnswer(), isReusable());
-            return;
-          }
-          buffer.flip();
-          byte[] chunk = new byte[count];
-          buffer.get(chunk);
-          body.write(chunk, 0, count);
-          if (body.size() > NetConstants.MAX_ANSWER_BYTES) {
-            pending.finish(null, false);
-            return;
-          }
-        }
-      } catch (IOException e) {
-        pending.finish(null, false);
-      }
+    public void onBody(byte[] body) {
+      pending.finish(createAnswer(body), isReusable());
+    }
+
+    @Override
+    public void onTooLarge() {
+      pending.finish(null, false);
+    }
+
+    @Override
+    public void onFailure(IOException failure) {
+      pending.finish(null, false);
     }
 
-    private Answer createAnswer() {
+    private Answer createAnswer(byte[] body) {
       return new Answer(
           response.getResponseCode(),
-          body.toByteArray(),
+          body,
           pending.call.codec(),
           retryAfterS(),
           Answer.Afterwards.KEEP);
--- a/src/main/java/fennelthread/net/HttpServer.java
+++ b/src/main/java/fennelthread/net/HttpServer.java
@@ -6,7 +6,6 @@
 import io.undertow.UndertowOptions;
 import io.undertow.connector.ByteBufferPool;
 import io.undertow.io.IoCallback;
-import io.undertow.io.Receiver;
 import io.undertow.io.Sender;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
@@ -30,6 +29,7 @@
   private static final Logger log = LoggerFactory.getLogger(HttpServer.class);
 
   private final Undertow server;
+  private final ByteBufferPool buffers;
   private final InboundConnections<ServerConnection> inbound;
 
   /**
@@ -48,6 +48,7 @@
       String peerAddress,
       Service peerService) {
     this.inbound = inbound;
+    this.buffers = buffers;
     this.server =
         Undertow.builder()
             .setWorker(worker)
@@ -87,21 +88,12 @@
       if (inbound.recordRequest(exchange.getConnection())) {
         exchange.getConnection().addCloseListener(inbound::recordClosed);
       }
-      runOutsideHandler(exchange, () -> read(exchange, service));
+      // Undertow ends an exchange with an empty response of status 200 when its handler returns
+      // without having answered or dispatched, and answers may come later.
+      exchange.dispatch(SameThreadExecutor.INSTANCE, () -> read(exchange, service));
     };
   }
 
-  /**
-   * Runs a task after Undertow's current call of a handler, or immediately if there is none. When a
-   * handler returns that has neither answered nor dispatched, Undertow ends the exchange with an
-   * empty response of status 200, so whatever may answer later runs outside. That holds for the
-   * callbacks of a receiver too: if the end of a body arrives after its start, they are called as
-   * handlers.
-   */
-  private static void runOutsideHandler(HttpServerExchange exchange, Runnable task) {
-    exchange.dispatch(SameThreadExecutor.INSTANCE, task);
-  }
-
   private void read(HttpServerExchange exchange, Service service) {
     String method = exchange.getRequestMethod().toString();
     String path = exchange.getRequestPath();
@@ -142,33 +134,25 @@
 
   private void receiveBody(
       HttpServerExchange exchange, Service service, String method, String path) {
-    exchange.getRequestReceiver().setMaxBufferSize(ProtocolConstants.MAX_BODY_BYTES);
-    exchange
-        .getRequestReceiver()
-        .receiveFullBytes(
-            (received, body) ->
-                runOutsideHandler(
-                    received, () -> serveWithBody(received, service, method, path, body)),
-            (failed, failure) ->
-                runOutsideHandler(failed, () -> endUnreadRequest(failed, failure)));
-  }
+    BodyReader.Outcome outcome =
+        new BodyReader.Outcome() {
+          @Override
+          public void onBody(byte[] body) {
+            serve(exchange, service, new Request(method, path, body));
+          }
 
-  private void serveWithBody(
-      HttpServerExchange exchange, Service service, String method, String path, byte[] body) {
-    if (body.length > ProtocolConstants.MAX_BODY_BYTES) {
-      refuseAsTooLarge(exchange);
-    } else {
-      serve(exchange, service, new Request(method, path, body));
-    }
-  }
+          @Override
+          public void onTooLarge() {
+            refuseAsTooLarge(exchange);
+          }
 
-  /** Ends a request whose body could not be read to its end. */
-  private void endUnreadRequest(HttpServerExchange exchange, IOException failure) {
-    if (failure instanceof Receiver.RequestToLargeException) {
-      refuseAsTooLarge(exchange);
-    } else {
-      IoUtils.safeClose(exchange.getConnection());
-    }
+          @Override
+          public void onFailure(IOException failure) {
+            IoUtils.safeClose(exchange.getConnection());
+          }
+        };
+    new BodyReader(buffers, ProtocolConstants.MAX_BODY_BYTES, outcome)
+        .start(exchange.getRequestChannel());
   }
 
   private void refuseAsTooLarge(HttpServerExchange exchange) {
