HTTP server: the answer to a request that is too large arrives

Seen by callers: a body above 64 KiB in several packets got a reset in place of 413. Cause: Undertow ends the reading of a request as soon as it is answered on an exchange that is not kept; the socket closes with bytes unread, and a reset takes the answer away. Change: the rest of a refused body is read and dropped, 2 s and 1 MiB at most, before the connection ends.

--- a/src/main/java/fennelthread/constants/NetConstants.java
+++ b/src/main/java/fennelthread/constants/NetConstants.java
@@ -83,5 +83,11 @@
   /** Initial size of the buffer for a body that is read, bytes: most bodies are shorter. */
   public static final int INITIAL_BODY_BUFFER_BYTES = 512;
 
+  /** Longest time for which the rest of a refused body is read and dropped, ms. */
+  public static final int BODY_DRAIN_TIMEOUT_MS = 2_000;
+
+  /** Most bytes of a refused body that are read and dropped. */
+  public static final int MAX_DRAINED_BODY_BYTES = 1024 * 1024;
+
   private NetConstants() {}
 }
--- a/src/main/java/fennelthread/net/BodyReader.java
+++ b/src/main/java/fennelthread/net/BodyReader.java
@@ -22,8 +22,8 @@
     /** The body has arrived whole. */
     void onBody(byte[] body);
 
-    /** The body is larger than allowed; the rest of it is still unread. */
-    void onTooLarge();
+    /** The body is larger than allowed; the rest of it can be read from the channel. */
+    void onTooLarge(StreamSourceChannel rest);
 
     /** The connection failed, or ended before the body did. */
     void onFailure(IOException failure);
@@ -66,7 +66,7 @@
         outcome.onBody(body.toByteArray());
       } else if (body.size() > maxBytes) {
         isFinished = true;
-        outcome.onTooLarge();
+        outcome.onTooLarge(channel);
       } else {
         channel.resumeReads();
       }
--- a/src/main/java/fennelthread/net/HttpClient.java
+++ b/src/main/java/fennelthread/net/HttpClient.java
@@ -26,6 +26,7 @@
 import org.xnio.Options;
 import org.xnio.XnioIoThread;
 import org.xnio.channels.StreamSinkChannel;
+import org.xnio.channels.StreamSourceChannel;
 
 /**
  * The HTTP client of this process: pools connections to workers, peers, the state service and the
@@ -441,7 +442,7 @@
     }
 
     @Override
-    public void onTooLarge() {
+    public void onTooLarge(StreamSourceChannel rest) {
       pending.finish(null, false);
     }
 
--- a/src/main/java/fennelthread/net/HttpServer.java
+++ b/src/main/java/fennelthread/net/HttpServer.java
@@ -20,6 +20,7 @@
 import org.xnio.IoUtils;
 import org.xnio.Options;
 import org.xnio.XnioWorker;
+import org.xnio.channels.StreamSourceChannel;
 
 /**
  * The HTTP server of a controller, with one listener for users and workers and one for peers.
@@ -102,7 +103,7 @@
       return;
     }
     if (exchange.getRequestContentLength() > ProtocolConstants.MAX_BODY_BYTES) {
-      refuseAsTooLarge(exchange);
+      refuseAsTooLarge(exchange, exchange.getRequestChannel());
       return;
     }
     askForBody(exchange, () -> receiveBody(exchange, service, method, path));
@@ -142,8 +143,8 @@
           }
 
           @Override
-          public void onTooLarge() {
-            refuseAsTooLarge(exchange);
+          public void onTooLarge(StreamSourceChannel rest) {
+            refuseAsTooLarge(exchange, rest);
           }
 
           @Override
@@ -155,11 +156,29 @@
         .start(exchange.getRequestChannel());
   }
 
-  private void refuseAsTooLarge(HttpServerExchange exchange) {
-    respond(
-        exchange,
+  /** Sends the response 413, drops the rest of the body, then ends the connection. */
+  private void refuseAsTooLarge(HttpServerExchange exchange, StreamSourceChannel rest) {
+    Answer answer =
         Answer.error(413, "body: is larger than " + ProtocolConstants.MAX_BODY_BYTES + " bytes")
-            .then(Answer.Afterwards.CLOSE));
+            .then(Answer.Afterwards.CLOSE);
+    setHead(exchange, answer);
+    exchange.setResponseContentLength(answer.body().length);
+    exchange
+        .getResponseSender()
+        .send(
+            ByteBuffer.wrap(answer.body()),
+            new IoCallback() {
+              @Override
+              public void onComplete(HttpServerExchange refused, Sender sender) {
+                new BodyDrain(buffers, refused::endExchange).start(rest);
+              }
+
+              @Override
+              public void onException(
+                  HttpServerExchange refused, Sender sender, IOException failure) {
+                IoUtils.safeClose(refused.getConnection());
+              }
+            });
   }
 
   private void serve(HttpServerExchange exchange, Service service, Request request) {
@@ -181,6 +200,12 @@
           answer.status());
       return;
     }
+    setHead(exchange, answer);
+    exchange.getResponseSender().send(ByteBuffer.wrap(answer.body()));
+  }
+
+  /** Sets the status and headers of a response, and whether its connection is kept. */
+  private void setHead(HttpServerExchange exchange, Answer answer) {
     exchange.setStatusCode(answer.status());
     exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, answer.codec().contentType());
     if (answer.retryAfterS() > 0) {
@@ -196,6 +221,5 @@
       exchange.setPersistent(false);
       exchange.getResponseHeaders().put(Headers.CONNECTION, "close");
     }
-    exchange.getResponseSender().send(ByteBuffer.wrap(answer.body()));
   }
 }
--- a/src/test/java/fennelthread/net/HttpServerTest.java
+++ b/src/test/java/fennelthread/net/HttpServerTest.java
@@ -104,7 +104,7 @@
   void requestThatIsCutOffIsNotHandled(Listener listener, Framing framing) throws Exception {
     RawRequest request =
         RawRequest.of("POST", "/later", bytes("a body that is cut off"), framing, CHUNK_BYTES);
-    byte[] whole = request.split(Packets.ONE).get(0);
+    byte[] whole = request.whole();
     for (int length = 1; length < whole.length; length++) {
       try (RawConnection connection = server.connect(listener)) {
         connection.send(Arrays.copyOf(whole, length));
--- a/src/test/java/fennelthread/net/RawRequest.java
+++ b/src/test/java/fennelthread/net/RawRequest.java
@@ -72,10 +72,16 @@
     return chunks.toByteArray();
   }
 
-  /** The head and the body as they arrive, packet by packet. */
-  List<byte[]> split(Packets packets) {
+  /** The head and the body. */
+  byte[] whole() {
     byte[] whole = Arrays.copyOf(head, head.length + body.length);
     System.arraycopy(body, 0, whole, head.length, body.length);
+    return whole;
+  }
+
+  /** The head and the body as they arrive, packet by packet. */
+  List<byte[]> split(Packets packets) {
+    byte[] whole = whole();
     return switch (packets) {
       case ONE -> List.of(whole);
       case HEAD_THEN_BODY -> List.of(head, body);
