--- a/src/test/java/fennelthread/net/RawConnection.java
+++ b/src/test/java/fennelthread/net/RawConnection.java
@@ -9,14 +9,14 @@
 import java.net.SocketTimeoutException;
 
 /** A client's TCP connection that sends bytes exactly as it is told, and reads what comes back. */
-final class RawConnection implements AutoCloseable {
+public final class RawConnection implements AutoCloseable {
   private static final int READ_TIMEOUT_MS = 10_000;
 
   private final Socket socket;
   private final InputStream input;
 
   /** Connects to a port of the loopback interface. */
-  RawConnection(int port) throws IOException {
+  public RawConnection(int port) throws IOException {
     socket = new Socket(InetAddress.getLoopbackAddress(), port);
     socket.setTcpNoDelay(true);
     socket.setSoTimeout(READ_TIMEOUT_MS);
@@ -24,17 +24,17 @@
   }
 
   /** Sends bytes as one packet, if they are few enough for one. */
-  void send(byte[] bytes) throws IOException {
+  public void send(byte[] bytes) throws IOException {
     socket.getOutputStream().write(bytes);
   }
 
   /** Reads the next response, be it interim or final. */
-  RawResponse read() throws IOException {
+  public RawResponse read() throws IOException {
     return RawResponse.read(input);
   }
 
   /** Reads the next final response; interim ones are passed over. */
-  RawResponse readFinal() throws IOException {
+  public RawResponse readFinal() throws IOException {
     RawResponse response = read();
     while (response.status() < 200) {
       response = read();
@@ -43,7 +43,7 @@
   }
 
   /** True if anything arrives, a byte or the end of the connection, within the time. */
-  boolean isReadableWithin(int ms) throws IOException {
+  public boolean isReadableWithin(int ms) throws IOException {
     socket.setSoTimeout(ms);
     input.mark(1);
     try {
@@ -58,7 +58,7 @@
   }
 
   /** True if the connection ends, by close or reset, before another byte arrives. */
-  boolean isEnded() throws IOException {
+  public boolean isEnded() throws IOException {
     try {
       return input.read() < 0;
     } catch (SocketTimeoutException e) {
@@ -69,12 +69,12 @@
   }
 
   /** Ends this side's direction; the other one stays open. */
-  void shutDownOutput() throws IOException {
+  public void shutDownOutput() throws IOException {
     socket.shutdownOutput();
   }
 
   /** Closes the connection with a reset. */
-  void reset() throws IOException {
+  public void reset() throws IOException {
     socket.setSoLinger(true, 0);
     socket.close();
   }
--- a/src/test/java/fennelthread/net/RawRequest.java
+++ b/src/test/java/fennelthread/net/RawRequest.java
@@ -13,10 +13,10 @@
  * @param body the body as it is sent, in chunks if the head says so
  */
 @SuppressWarnings("ArrayRecordComponent") // never compared
-record RawRequest(byte[] head, byte[] body) {
+public record RawRequest(byte[] head, byte[] body) {
 
   /** How the end of the body is told, and whether the client asks before it sends one. */
-  enum Framing {
+  public enum Framing {
     FIXED_LENGTH("Content-Length: %d\r\n"),
     CHUNKED("Transfer-Encoding: chunked\r\n"),
     EXPECT_CONTINUE("Content-Length: %d\r\nExpect: 100-continue\r\n"),
@@ -38,7 +38,7 @@
   }
 
   /** In which packets the bytes of a request arrive. */
-  enum Packets {
+  public enum Packets {
     ONE,
     HEAD_THEN_BODY,
     INSIDE_HEAD_AND_BODY,
@@ -46,7 +46,8 @@
   }
 
   /** Encodes a request with a body; chunks have at most {@code chunkBytes}. */
-  static RawRequest of(String method, String path, byte[] body, Framing framing, int chunkBytes) {
+  public static RawRequest of(
+      String method, String path, byte[] body, Framing framing, int chunkBytes) {
     String head =
         method
             + " "
@@ -73,14 +74,14 @@
   }
 
   /** The head and the body. */
-  byte[] whole() {
+  public byte[] whole() {
     byte[] whole = Arrays.copyOf(head, head.length + body.length);
     System.arraycopy(body, 0, whole, head.length, body.length);
     return whole;
   }
 
   /** The head and the body as they arrive, packet by packet. */
-  List<byte[]> split(Packets packets) {
+  public List<byte[]> split(Packets packets) {
     byte[] whole = whole();
     return switch (packets) {
       case ONE -> List.of(whole);
--- a/src/test/java/fennelthread/net/RawResponse.java
+++ b/src/test/java/fennelthread/net/RawResponse.java
@@ -17,14 +17,14 @@
  * @param body the whole body
  */
 @SuppressWarnings("ArrayRecordComponent") // never compared
-record RawResponse(int status, Map<String, String> headers, byte[] body) {
+public record RawResponse(int status, Map<String, String> headers, byte[] body) {
 
   /**
    * Reads one response from its first byte to its last; reads nothing behind it.
    *
    * @throws EOFException if the connection ends before the response does
    */
-  static RawResponse read(InputStream input) throws IOException {
+  public static RawResponse read(InputStream input) throws IOException {
     String statusLine = readLine(input);
     if (!statusLine.startsWith("HTTP/1.1 ")) {
       throw new IOException("not a status line: " + statusLine);
@@ -66,12 +66,12 @@
   }
 
   /** True if the server closes the connection after this response. */
-  boolean isLast() {
+  public boolean isLast() {
     return "close".equalsIgnoreCase(headers.get("connection"));
   }
 
   /** The body as text. */
-  String text() {
+  public String text() {
     return new String(body, StandardCharsets.UTF_8);
   }
 }
