fleet: machines of a cut-off zone are no slow boots to a new leader

Seen: a leader elected during a cut returns the zone's machines, with the tasks that run there, as machines that never came up, as soon as the zone is back. Cause: BootingMachines alone judged silent machines without asking for the health of their zone. Change: none is judged while its zone is unreachable; its wait for a report counts from the end of that.

--- a/src/main/java/fennelthread/fleet/BootingMachines.java
+++ b/src/main/java/fennelthread/fleet/BootingMachines.java
@@ -64,24 +64,29 @@
   }
 
   /**
-   * Passes the machines that will probably never come up to a listener.
+   * Passes the machines that will probably never come up to a listener. A machine whose zone is
+   * unreachable may be up, and has time to report once the zone is reachable again.
    *
    * @param types the machine types that the cloud offers, by name
    * @param capacityBackoff the kinds that the cloud refused recently for lack of capacity
+   * @param zones the health of the zones
    * @param minReportWaitMs the least time that a machine is given to report to this term, ms
    */
   void forEachStuck(
       Map<String, MachineType> types,
       CapacityBackoff capacityBackoff,
+      ZoneHealth zones,
       long minReportWaitMs,
       long nowMs,
       StuckMachineListener listener) {
     boots.forEach(
         (name, boot) -> {
           Machine machine = fleet.getOrAddMachine(name, null);
+          long waitingSinceMs = Math.max(boot.knownSinceMs, zones.lastUnreachableAtMs(machine));
           boolean hasWaitedForReport =
               machine.phase() == Machine.Phase.AWAITING_REPORT
-                  && nowMs - boot.knownSinceMs > minReportWaitMs;
+                  && !zones.isUnreachable(machine)
+                  && nowMs - waitingSinceMs > minReportWaitMs;
           if (hasWaitedForReport
               && bootTimes.isStuck(
                   boot.kind.type(),
--- a/src/main/java/fennelthread/fleet/MachineProvisioner.java
+++ b/src/main/java/fennelthread/fleet/MachineProvisioner.java
@@ -196,6 +196,7 @@
     booting.forEachStuck(
         machineTypes,
         capacityBackoff,
+        context.zones(),
         minReportWaitMs,
         nowMs,
         machine -> returns.beginRevocableReturn(machine, ReturnReason.BOOT_TIMEOUT));
--- a/src/test/java/fennelthread/simulation/LeaseRenewalTest.java
+++ b/src/test/java/fennelthread/simulation/LeaseRenewalTest.java
@@ -5,7 +5,9 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import fennelthread.wire.JobSpec;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -80,6 +82,30 @@
     assertFewRestarts(startsBefore, cluster);
   }
 
+  /**
+   * A leader is elected while a zone is cut off, and has never heard the machines there. Guards
+   * against returning them as machines that never came up, with the tasks that run on them, once
+   * newer machines are up.
+   */
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12})
+  void machinesOfACutOffZoneAreNotReturnedByANewLeader(long seed) {
+    SimulatedCluster cluster = settled(seed, List.of("norte", "sur"));
+    List<JobSpec> services = Scenes.services(cluster, 20, 100, 20_000);
+    String cutOffZone = cluster.zoneOf(cluster.leader()).equals("norte") ? "sur" : "norte";
+    Set<String> cutOffMachines = new HashSet<>();
+    cluster.cloud.machines().values().stream()
+        .filter(w -> w.isUp() && w.zone().equals(cutOffZone))
+        .forEach(w -> cutOffMachines.add(w.name()));
+    cluster.world.cutZone(cutOffZone, 40_000);
+    cluster.world.runUntil(cluster.world.now() + 2_000);
+    cluster.crash(cluster.leader(), 300);
+    cluster.world.runUntil(cluster.world.now() + 70_000);
+    cutOffMachines.retainAll(cluster.cloud.returned);
+    assertEquals(Set.of(), cutOffMachines, "returned");
+    assertTrue(cluster.allRun(services));
+  }
+
   /** In a zone without a controller the workers' leases expire, and the tasks start elsewhere. */
   @Test
   void tasksMoveFromACutOffZoneWithoutAController() {
