election: a leader that is alone from its election on goes on starting tasks

Cause: "protectedUntilMs() - nowMs" overflows while nobody has promised; too few promises counted as enough, and the declaration that lets a leader act without them was revoked. Change: compare without subtracting; rewrite the declaration while promises are withheld, and rely on it meanwhile.

--- a/src/main/java/fennelthread/election/LeaderProtection.java
+++ b/src/main/java/fennelthread/election/LeaderProtection.java
@@ -67,11 +67,18 @@
 
   /** Declares or revokes unilateral leadership as the promises in force require. */
   void updateDeclaration(long nowMs) {
+    // The end of the promises may be the smallest or largest number, which subtracting overflows.
     boolean hasEnoughPromises =
-        promises.protectedUntilMs() - nowMs > ElectionConstants.PROMISE_REMAINING_MS;
+        promises.protectedUntilMs() > nowMs + ElectionConstants.PROMISE_REMAINING_MS;
     if (!hasEnoughPromises) {
       enoughPromisesSinceMs = ElectionConstants.NEVER;
       declaration.declare();
+      if (isPromiseWithheldTooLong(nowMs)) {
+        // The follower may have agreed to a takeover, or have forgotten what it agreed to: it
+        // promises again once the declaration's record has been rewritten.
+        promiseWithheldSinceMs = ElectionConstants.NEVER;
+        declaration.rewrite();
+      }
       return;
     }
     if (enoughPromisesSinceMs == ElectionConstants.NEVER) {
@@ -81,8 +88,7 @@
         && nowMs - enoughPromisesSinceMs > ElectionConstants.REVOKE_DECLARATION_AFTER_MS) {
       declaration.revoke();
     } else if (!declaration.isDeclared() && isPromiseWithheldTooLong(nowMs)) {
-      // The follower may have agreed to a takeover: it promises again once the declaration's record
-      // has been rewritten.
+      // Another follower promises, so the revocation is rewritten, for the same reason.
       promiseWithheldSinceMs = ElectionConstants.NEVER;
       declaration.revoke();
     }
--- a/src/main/java/fennelthread/election/UnilateralLeadership.java
+++ b/src/main/java/fennelthread/election/UnilateralLeadership.java
@@ -24,7 +24,10 @@
   private static final Logger log = LoggerFactory.getLogger(UnilateralLeadership.class);
   private static final String EPOCH_FIELD = "epoch";
 
-  /** The state of the declaration. Only DECLARED lets the leader start tasks without promises. */
+  /**
+   * The state of the declaration. Only DECLARED and REWRITING let the leader start tasks without
+   * promises.
+   */
   enum Phase {
     /** Not recorded, or possibly recorded because a write or a revocation got no answer. */
     NOT_DECLARED,
@@ -32,6 +35,11 @@
     DECLARING,
     /** Recorded. */
     DECLARED,
+    /**
+     * Recorded, and a write of the same declaration is in flight: whether it is applied or not, a
+     * declaration of this epoch is recorded, and no takeover agreed on before it can be applied.
+     */
+    REWRITING,
     /**
      * A revocation is in flight: from its sending on, the leader does not rely on the declaration.
      */
@@ -63,7 +71,7 @@
 
   /** True if the declaration is known to be recorded, and no revocation was sent since. */
   boolean isDeclared() {
-    return phase == Phase.DECLARED;
+    return phase == Phase.DECLARED || phase == Phase.REWRITING;
   }
 
   /** The revision of the declaration in the local replica, 0 if there is none. */
@@ -84,7 +92,17 @@
   /** Writes the declaration, unless it is recorded, or a write is in flight or was just made. */
   void declare() {
     if (phase == Phase.NOT_DECLARED) {
-      write(true);
+      write(Phase.DECLARING);
+    }
+  }
+
+  /**
+   * Writes the recorded declaration once more: peers that may have agreed to a takeover are then
+   * free to promise again. Does nothing while a write is in flight or was just made.
+   */
+  void rewrite() {
+    if (phase == Phase.DECLARED) {
+      write(Phase.REWRITING);
     }
   }
 
@@ -94,22 +112,25 @@
    */
   void revoke() {
     if (phase == Phase.NOT_DECLARED || phase == Phase.DECLARED) {
-      write(false);
+      write(Phase.REVOKING);
     }
   }
 
   /**
    * Writes the declaration or its revocation. The write is conditional on the revision in the
    * replica, so that an earlier write without an answer can't be applied after this one.
+   *
+   * @param inFlight the phase until the answer comes: DECLARING, REWRITING or REVOKING
    */
-  private void write(boolean declared) {
+  private void write(Phase inFlight) {
     if (eventLoop.nowMs() - lastWriteAtMs < ElectionConstants.MIN_DECLARATION_INTERVAL_MS) {
       return;
     }
     lastWriteAtMs = eventLoop.nowMs();
     long termOfWrite = term;
     long epoch = lease.epoch();
-    transitionTo(declared ? Phase.DECLARING : Phase.REVOKING, epoch);
+    boolean declared = inFlight != Phase.REVOKING;
+    transitionTo(inFlight, epoch);
     Fields declaration = Fields.create().with(EPOCH_FIELD, declared ? epoch : 0L);
     Txn txn =
         lease
--- a/src/test/java/fennelthread/simulation/RestartTest.java
+++ b/src/test/java/fennelthread/simulation/RestartTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import fennelthread.wire.JobSpec;
+import fennelthread.wire.WireException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.BooleanSupplier;
@@ -156,6 +157,44 @@
     assertTrue(cluster.allRun(services));
   }
 
+  /**
+   * All controllers crash and one returns: the others stay away, and it is alone from its election
+   * on. Guards against a leader that stops starting tasks some seconds later for want of promises.
+   * Once the others are back, the declaration that it acts alone is revoked, so that a takeover is
+   * possible again.
+   */
+  @ParameterizedTest
+  @ValueSource(longs = {31, 32, 33})
+  void theOnlyControllerThatReturnsGoesOnStartingTasks(long seed) throws WireException {
+    SimulatedCluster cluster = settled(seed);
+    List<JobSpec> services = Scenes.services(cluster, 10, 100, 15_000);
+    List<String> members = List.copyOf(cluster.controllers.keySet());
+    cluster.crash(members.get(0), 500);
+    cluster.crash(members.get(1), 140_000);
+    cluster.crash(members.get(2), 140_000);
+    until(cluster, cluster.world.now() + 30_000, () -> cluster.leader() != null);
+    assertEquals(members.get(0), cluster.leader());
+    List<JobSpec> batches = new ArrayList<>();
+    for (int i = 0; i < 12; i++) {
+      JobSpec job = cluster.plainJob(false, 4);
+      batches.add(job);
+      cluster.submit(job);
+      cluster.world.runUntil(cluster.world.now() + 5_000);
+    }
+    cluster.world.runUntil(cluster.world.now() + 40_000);
+    assertEquals(members.get(0), cluster.leader());
+    for (JobSpec job : batches) {
+      assertTrue(cluster.checker.isOver(job.id()), job.id() + " is not over");
+    }
+    assertTrue(cluster.allRun(services));
+
+    cluster.world.runUntil(cluster.world.now() + 60_000);
+    assertEquals(
+        0,
+        cluster.state.valuesUnder("live/solo").get(0).count("epoch"),
+        "the declaration is not revoked although the others are back");
+  }
+
   /**
    * All controllers crash and return during an outage of the state service; the first four claims
    * after it crash their writers.
