leader: a waiting job takes memory by what has begun, not by its number of tasks

Cause: ActiveJob kept a bit for each task that has not started, 12.5 KB for 100,000 tasks, and room for 16 tasks in each of three maps. Confirmed by the bytes allocated for one: 14,144 with 100,000 tasks, 1,624 with one task. Change: it keeps the tasks that have begun; the others follow from the number of tasks. Maps begin small.

--- a/src/main/java/fennelthread/constants/LeaderConstants.java
+++ b/src/main/java/fennelthread/constants/LeaderConstants.java
@@ -168,5 +168,8 @@
    */
   public static final double MAX_RUN_TIME_RATIO = 5;
 
+  /** Entries that a job's maps by task have room for at first: a job that waits has none. */
+  public static final int INITIAL_TASK_ENTRIES = 1;
+
   private LeaderConstants() {}
 }
--- a/src/main/java/fennelthread/leader/ActiveJob.java
+++ b/src/main/java/fennelthread/leader/ActiveJob.java
@@ -1,6 +1,7 @@
 package fennelthread.leader;
 
 import fennelthread.constants.JobConstants;
+import fennelthread.constants.LeaderConstants;
 import fennelthread.fleet.Attempt;
 import fennelthread.jobs.InheritedPriority;
 import fennelthread.jobs.Job;
@@ -29,8 +30,15 @@
   private final Job job;
   private final BitSet finished = new BitSet();
   private final BitSet stored = new BitSet();
-  private final BitSet idle = new BitSet();
-  private final Int2ObjectOpenHashMap<List<Attempt>> attempts = new Int2ObjectOpenHashMap<>();
+
+  /**
+   * The tasks that are finished or may be on a machine; all others are idle. It takes memory by
+   * what has begun, so that a waiting job costs the same whatever its number of tasks.
+   */
+  private final BitSet begun = new BitSet();
+
+  private final Int2ObjectOpenHashMap<List<Attempt>> attempts =
+      new Int2ObjectOpenHashMap<>(LeaderConstants.INITIAL_TASK_ENTRIES);
   private final TaskBackoff backoff = new TaskBackoff();
   private final TreeSet<Integer> unstoredChunks = new TreeSet<>();
   private Phase phase = Phase.WAITING;
@@ -44,8 +52,7 @@
     this.job = job;
     finished.or(job.finishedTasks());
     stored.or(job.finishedTasks());
-    idle.set(0, job.spec().tasks());
-    idle.andNot(finished);
+    begun.or(finished);
     unfinished = job.spec().tasks() - finished.cardinality();
   }
 
@@ -119,7 +126,7 @@
     if (!attemptsOfTask.contains(attempt)) {
       attemptsOfTask.add(attempt);
     }
-    idle.clear(task);
+    begun.set(task);
   }
 
   /**
@@ -135,8 +142,8 @@
     attemptsOfTask.remove(attempt);
     if (attemptsOfTask.isEmpty()) {
       attempts.remove(task);
-      if (task < job.spec().tasks() && !finished.get(task)) {
-        idle.set(task);
+      if (!finished.get(task)) {
+        begun.clear(task);
       }
     }
   }
@@ -177,7 +184,7 @@
   void markFinished(int task) {
     if (task < job.spec().tasks() && !finished.get(task)) {
       finished.set(task);
-      idle.clear(task);
+      begun.set(task);
       unfinished--;
       unstoredChunks.add(task / JobConstants.TASKS_PER_CHUNK);
     }
@@ -238,7 +245,7 @@
 
   /** True if some task is neither finished nor possibly on a machine; it may be in backoff. */
   boolean hasIdleTasks() {
-    return !idle.isEmpty();
+    return begun.nextClearBit(0) < job.spec().tasks();
   }
 
   /**
@@ -247,9 +254,9 @@
    */
   List<Integer> startableTasks(long nowMs, int maxTasks) {
     List<Integer> tasks = new ArrayList<>();
-    for (int task = idle.nextSetBit(0);
-        task >= 0 && tasks.size() < maxTasks;
-        task = idle.nextSetBit(task + 1)) {
+    for (int task = begun.nextClearBit(0);
+        task < job.spec().tasks() && tasks.size() < maxTasks;
+        task = begun.nextClearBit(task + 1)) {
       if (backoff.mayTry(task, nowMs)) {
         tasks.add(task);
       }
--- a/src/main/java/fennelthread/leader/TaskBackoff.java
+++ b/src/main/java/fennelthread/leader/TaskBackoff.java
@@ -13,8 +13,10 @@
  * faulty. All times are ms of the local clock; {@code jitter} is a random number from 0 to 1.
  */
 final class TaskBackoff {
-  private final Int2LongOpenHashMap retryAtMs = new Int2LongOpenHashMap();
-  private final Int2IntOpenHashMap refusals = new Int2IntOpenHashMap();
+  private final Int2LongOpenHashMap retryAtMs =
+      new Int2LongOpenHashMap(LeaderConstants.INITIAL_TASK_ENTRIES);
+  private final Int2IntOpenHashMap refusals =
+      new Int2IntOpenHashMap(LeaderConstants.INITIAL_TASK_ENTRIES);
   private final Set<String> failedMachines = new HashSet<>();
   private int failures;
   private long lastIncidentMs = Long.MIN_VALUE / 2;
