--- a/src/test/java/fennelthread/net/BodyLimitTest.java
+++ b/src/test/java/fennelthread/net/BodyLimitTest.java
@@ -8,20 +8,17 @@
 import fennelthread.net.RawRequest.Framing;
 import fennelthread.net.RawRequest.Packets;
 import fennelthread.net.ServerFixture.Listener;
-import java.io.IOException;
 import java.net.SocketException;
 import java.util.Arrays;
 import java.util.List;
 import java.util.stream.Stream;
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.MethodSource;
 
 /** The limit on the size of a request's body, on real sockets. */
-class BodyLimitTest {
+class BodyLimitTest extends ServerTestBase {
   private static final int CHUNK_BYTES = 5_000;
   private static final int END_OF_CHUNKS_BYTES = "0\r\n\r\n".length();
 
@@ -30,18 +27,6 @@
 
   private static final int REQUESTS_ON_A_CONNECTION = 2;
 
-  private ServerFixture server;
-
-  @BeforeEach
-  void startServer() throws IOException {
-    server = new ServerFixture();
-  }
-
-  @AfterEach
-  void stopServer() {
-    server.close();
-  }
-
   private static Stream<Arguments> listenersAndFramings() {
     return ServerFixture.listenersAnd(Framing.values());
   }
--- a/src/test/java/fennelthread/net/ExpectContinueTest.java
+++ b/src/test/java/fennelthread/net/ExpectContinueTest.java
@@ -5,33 +5,17 @@
 import fennelthread.net.RawRequest.Framing;
 import fennelthread.net.RawRequest.Packets;
 import fennelthread.net.ServerFixture.Listener;
-import java.io.IOException;
-import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.stream.Stream;
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
 
 /** Requests with {@code Expect: 100-continue} to the HTTP server on real sockets. */
-class ExpectContinueTest {
+class ExpectContinueTest extends ServerTestBase {
   private static final int CHUNK_BYTES = 16;
   private static final int REQUESTS_ON_A_CONNECTION = 2;
 
-  private ServerFixture server;
-
-  @BeforeEach
-  void startServer() throws IOException {
-    server = new ServerFixture();
-  }
-
-  @AfterEach
-  void stopServer() {
-    server.close();
-  }
-
   private static Stream<Arguments> listenersAndFramings() {
     return ServerFixture.listenersAnd(Framing.values());
   }
@@ -74,8 +58,4 @@
       }
     }
   }
-
-  private static byte[] bytes(String text) {
-    return text.getBytes(StandardCharsets.UTF_8);
-  }
 }
--- a/src/test/java/fennelthread/net/HttpServerTest.java
+++ b/src/test/java/fennelthread/net/HttpServerTest.java
@@ -10,35 +10,20 @@
 import java.io.EOFException;
 import java.io.IOException;
 import java.net.SocketException;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
 import java.util.stream.Stream;
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.MethodSource;
 
 /** The HTTP server on real sockets: each request gets its handler's answer, however it arrives. */
-class HttpServerTest {
+class HttpServerTest extends ServerTestBase {
   private static final int CHUNK_BYTES = 16;
   private static final int REQUESTS_ON_A_CONNECTION = 2;
 
-  private ServerFixture server;
-
-  @BeforeEach
-  void startServer() throws IOException {
-    server = new ServerFixture();
-  }
-
-  @AfterEach
-  void stopServer() {
-    server.close();
-  }
-
   private static Stream<Arguments> listenersAndFramings() {
     return ServerFixture.listenersAnd(Framing.FIXED_LENGTH, Framing.CHUNKED);
   }
@@ -74,10 +59,6 @@
     assertEquals(REQUESTS_ON_A_CONNECTION, server.handled.size());
   }
 
-  private static byte[] bytes(String text) {
-    return text.getBytes(StandardCharsets.UTF_8);
-  }
-
   /** A question has no body, wherever its head is cut. */
   @ParameterizedTest
   @EnumSource(Packets.class)
