Tests: servers listen on addresses of their own, not on ports found free

Cause: the test looked for a free port, closed it and listened on it later. Four test processes share 127.0.0.1, so another process (or the second search of the same test) can get the same port in between. No check of the product is concerned. Change: each test process claims a block of loopback addresses, as emulate does, and each server of a test gets an address of it that is used once. The checks of all tests are as they were. The class-data training run (cli/Train) finds its ports in the old way; it is run by package, not by tests.

--- a/src/main/java/fennelthread/emulate/Addresses.java
+++ b/src/main/java/fennelthread/emulate/Addresses.java
@@ -9,11 +9,12 @@
 import java.util.random.RandomGenerator;
 
 /**
- * The loopback addresses of one run, all of one block {@code 127.B.0.0/16}: each machine listens on
- * its own address and the common port, so that ports don't run out. Linux routes the whole of
- * 127.0.0.0/8 to the loopback without any set-up.
+ * The loopback addresses of one process, all of one block {@code 127.B.0.0/16}: each machine
+ * listens on its own address and the common port, so that ports don't run out, and no other process
+ * can take an address before it is listened on. Linux routes the whole of 127.0.0.0/8 to the
+ * loopback without any set-up.
  */
-final class Addresses implements AutoCloseable {
+public final class Addresses implements AutoCloseable {
   private final int block;
   private final ServerSocket claim;
 
@@ -22,8 +23,12 @@
     this.claim = claim;
   }
 
-  /** Takes a block that no other run on this machine holds, for as long as it is open. */
-  static Addresses claim(RandomGenerator random) throws IOException {
+  /**
+   * Takes a block that no other process on this machine holds, for as long as it is open.
+   *
+   * @throws IOException if none was free after several tries
+   */
+  public static Addresses claim(RandomGenerator random) throws IOException {
     IOException last = null;
     for (int i = 0; i < EmulationConstants.MAX_ADDRESS_BLOCK_TRIES; i++) {
       int block = 1 + random.nextInt(254);
@@ -38,22 +43,22 @@
   }
 
   /** A controller's address for users and workers; members count from 0. */
-  String api(int member) {
+  public String api(int member) {
     return service(1, member, EmulationConstants.API_PORT);
   }
 
   /** A controller's address for the other controllers. */
-  String peer(int member) {
+  public String peer(int member) {
     return service(1, member, EmulationConstants.PEER_PORT);
   }
 
   /** The state service as one controller reaches it: the address says who asks. */
-  String state(int member) {
+  public String state(int member) {
     return service(2, member, EmulationConstants.STATE_PORT);
   }
 
   /** The cloud as one controller reaches it. */
-  String cloud(int member) {
+  public String cloud(int member) {
     return service(3, member, EmulationConstants.CLOUD_PORT);
   }
 
@@ -62,7 +67,7 @@
   }
 
   /** The address of the machine with this number, from 0. */
-  String machine(int number) {
+  public String machine(int number) {
     int third = number / 250;
     if (third > 249) {
       throw new IllegalStateException("more machines than a block of loopback addresses holds");
@@ -72,7 +77,7 @@
   }
 
   /** Reads {@code a.b.c.d:port}. */
-  static InetSocketAddress parse(String address) {
+  public static InetSocketAddress parse(String address) {
     int colon = address.lastIndexOf(':');
     try {
       return new InetSocketAddress(
--- a/src/test/java/fennelthread/emulate/ControllerRequestsTest.java
+++ b/src/test/java/fennelthread/emulate/ControllerRequestsTest.java
@@ -47,7 +47,7 @@
   }
 
   @AfterAll
-  void stopControllers() {
+  void stopControllers() throws Exception {
     controllers.close();
   }
 
@@ -111,8 +111,8 @@
     private final Framing framing;
     private final Packets packets;
 
-    Client(int port, Codec codec, Framing framing, Packets packets) throws Exception {
-      this.connection = new RawConnection(port);
+    Client(String address, Codec codec, Framing framing, Packets packets) throws Exception {
+      this.connection = new RawConnection(address);
       this.codec = codec;
       this.framing = framing;
       this.packets = packets;
@@ -155,7 +155,7 @@
   @MethodSource("deliveries")
   void usersGetTheirAnswers(Framing framing, Packets packets) throws Exception {
     for (RealControllers.Node node : controllers.nodes()) {
-      try (Client user = new Client(node.apiPort(), Codec.CBOR, framing, packets)) {
+      try (Client user = new Client(node.apiAddress(), Codec.CBOR, framing, packets)) {
         String id = newJobId();
         assertEquals("pending", user.post(201, "/v1/jobs", job(id, 1.0)).text("estado"));
         assertEquals(id, user.post(200, "/v1/jobs", job(id, 1.0)).text("name_id"));
@@ -180,7 +180,7 @@
   void workersGetTheirAnswers(Framing framing, Packets packets) throws Exception {
     RealControllers.Node leader = controllers.leader();
     for (RealControllers.Node node : controllers.nodes()) {
-      try (Client worker = new Client(node.apiPort(), Codec.CBOR, framing, packets)) {
+      try (Client worker = new Client(node.apiAddress(), Codec.CBOR, framing, packets)) {
         String machine = String.format("n-%06d", ++lastMachine);
         if (!node.equals(leader)) {
           Fields redirect = worker.post(421, "/agent/beat", report(machine));
@@ -198,7 +198,7 @@
   @MethodSource("deliveries")
   void peersGetTheirAnswers(Framing framing, Packets packets) throws Exception {
     for (RealControllers.Node node : controllers.nodes()) {
-      try (Client peer = new Client(node.peerPort(), Codec.JSON, framing, packets)) {
+      try (Client peer = new Client(node.peerAddress(), Codec.JSON, framing, packets)) {
         Fields commands =
             Fields.create()
                 .with("epoch", 1L << 30)
@@ -228,14 +228,14 @@
     String id = newJobId();
     controllers.startStateOutage(OUTAGE_MS);
     try (Client user =
-        new Client(node.apiPort(), Codec.CBOR, Framing.FIXED_LENGTH, Packets.HEAD_THEN_BODY)) {
+        new Client(node.apiAddress(), Codec.CBOR, Framing.FIXED_LENGTH, Packets.HEAD_THEN_BODY)) {
       assertTrue(user.post(503, "/v1/jobs", job(id, 1.0)).has("error"));
     }
     for (RealControllers.Node other : controllers.nodes()) {
       awaitServing(other);
     }
     try (Client user =
-        new Client(node.apiPort(), Codec.CBOR, Framing.FIXED_LENGTH, Packets.HEAD_THEN_BODY)) {
+        new Client(node.apiAddress(), Codec.CBOR, Framing.FIXED_LENGTH, Packets.HEAD_THEN_BODY)) {
       user.get(404, "/v1/jobs/" + id);
       user.post(201, "/v1/jobs", job(id, 1.0));
     }
@@ -244,7 +244,7 @@
   /** Waits until a controller answers questions, which it can't during an outage. */
   private static void awaitServing(RealControllers.Node node) throws Exception {
     for (int i = 0; i < MAX_SERVING_POLLS; i++) {
-      try (RawConnection connection = new RawConnection(node.apiPort())) {
+      try (RawConnection connection = new RawConnection(node.apiAddress())) {
         String head = "GET /v1/jobs/job-999999 HTTP/1.1\r\nHost: localhost\r\n\r\n";
         connection.send(head.getBytes(StandardCharsets.US_ASCII));
         if (connection.readFinal().status() == 404) {
--- a/src/test/java/fennelthread/emulate/RealControllers.java
+++ b/src/test/java/fennelthread/emulate/RealControllers.java
@@ -11,9 +11,6 @@
 import fennelthread.wire.Codec;
 import fennelthread.wire.Fields;
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -62,23 +59,19 @@
 
   /** One controller. */
   record Node(Settings settings, XnioEventLoop eventLoop, Controller controller) {
-    int apiPort() {
-      return port(settings.apiAddr());
+    String apiAddress() {
+      return settings.apiAddr();
     }
 
-    int peerPort() {
-      return port(settings.peerAddr());
-    }
-
-    private static int port(String address) {
-      return Integer.parseInt(address.substring(address.lastIndexOf(':') + 1));
+    String peerAddress() {
+      return settings.peerAddr();
     }
   }
 
   private final SelectorLoop loop;
   private final EmulatedStateService state;
   private final List<Node> nodes = new ArrayList<>();
-  private final int workerPort = freePort();
+  private final Addresses addresses = Addresses.claim(new Random());
 
   /** Starts everything and waits until a controller leads. */
   RealControllers(Path directory) throws Exception {
@@ -87,15 +80,10 @@
     state =
         new EmulatedStateService(
             loop, new EmulationConfig.StateSettings(limits, 2), new Random(RANDOM_SEED));
-    int cloudPort = freePort();
-    List<Integer> statePorts = freePorts();
-    loop.execute(() -> startServices(cloudPort, statePorts));
+    loop.execute(this::startServices);
     loop.start();
-    List<Integer> apiPorts = freePorts();
-    List<Integer> peerPorts = freePorts();
     for (int member = 0; member < CONTROLLERS; member++) {
-      String text = settings(member, apiPorts, peerPorts, cloudPort, statePorts.get(member));
-      Path file = Files.writeString(directory.resolve(name(member) + ".toml"), text);
+      Path file = Files.writeString(directory.resolve(name(member) + ".toml"), settings(member));
       nodes.add(startNode(Settings.load(file)));
     }
     leader();
@@ -105,36 +93,21 @@
     return "node-" + member;
   }
 
-  private static List<Integer> freePorts() throws IOException {
-    List<Integer> ports = new ArrayList<>();
-    for (int i = 0; i < CONTROLLERS; i++) {
-      ports.add(freePort());
-    }
-    return ports;
-  }
-
-  private static int freePort() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      return socket.getLocalPort();
-    }
-  }
-
-  private static String settings(
-      int member, List<Integer> apiPorts, List<Integer> peerPorts, int cloudPort, int statePort) {
+  private String settings(int member) {
     StringBuilder text = new StringBuilder();
     text.append("member = \"%s\"\nsite = \"z\"\n".formatted(name(member)));
-    text.append("api_addr = \"127.0.0.1:%d\"\n".formatted(apiPorts.get(member)));
-    text.append("mesh_addr = \"127.0.0.1:%d\"\n".formatted(peerPorts.get(member)));
+    text.append("api_addr = \"%s\"\n".formatted(addresses.api(member)));
+    text.append("mesh_addr = \"%s\"\n".formatted(addresses.peer(member)));
     for (int other = 0; other < CONTROLLERS; other++) {
       if (other != member) {
         text.append(
-            "[[siblings]]\nmember = \"%s\"\nsite = \"z\"\naddr = \"127.0.0.1:%d\"\n"
-                .formatted(name(other), peerPorts.get(other)));
+            "[[siblings]]\nmember = \"%s\"\nsite = \"z\"\naddr = \"%s\"\n"
+                .formatted(name(other), addresses.peer(other)));
       }
     }
     text.append(
-        "[endpoints]\ncloud = \"127.0.0.1:%d\"\nstate = \"127.0.0.1:%d\"\n"
-            .formatted(cloudPort, statePort));
+        "[endpoints]\ncloud = \"%s\"\nstate = \"%s\"\n"
+            .formatted(addresses.cloud(member), addresses.state(member)));
     return text + SHARED_SETTINGS;
   }
 
@@ -154,21 +127,21 @@
     return new Node(settings, eventLoop, started.get(START_TIMEOUT_MS, TimeUnit.MILLISECONDS));
   }
 
-  private void startServices(int cloudPort, List<Integer> statePorts) {
+  private void startServices() {
     try {
       for (int member = 0; member < CONTROLLERS; member++) {
-        listen(statePorts.get(member), state.serviceFor(member));
+        listen(addresses.state(member), state.serviceFor(member));
+        listen(addresses.cloud(member), RealControllers::answerAsCloud);
       }
-      listen(cloudPort, RealControllers::answerAsCloud);
-      listen(workerPort, RealControllers::answerAsWorker);
+      listen(workerAddress(), RealControllers::answerAsWorker);
       state.start();
     } catch (IOException e) {
       throw new IllegalStateException("can't listen", e);
     }
   }
 
-  private void listen(int port, Service service) throws IOException {
-    new HttpListener(loop, new InetSocketAddress(InetAddress.getLoopbackAddress(), port), service);
+  private void listen(String address, Service service) throws IOException {
+    new HttpListener(loop, Addresses.parse(address), service);
   }
 
   private static void answerAsCloud(Request request, Consumer<Answer> reply) {
@@ -201,7 +174,7 @@
 
   /** The address at which a worker answers commands, host and port. */
   String workerAddress() {
-    return "127.0.0.1:" + workerPort;
+    return addresses.machine(0);
   }
 
   /** All controllers. */
@@ -237,8 +210,9 @@
   }
 
   @Override
-  public void close() {
+  public void close() throws IOException {
     nodes.forEach(node -> node.eventLoop().stop());
     loop.stop();
+    addresses.close();
   }
 }
--- a/src/test/java/fennelthread/net/OpenConnections.java
+++ b/src/test/java/fennelthread/net/OpenConnections.java
@@ -1,10 +1,11 @@
 package fennelthread.net;
 
+import fennelthread.emulate.Addresses;
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.InputStreamReader;
-import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -23,14 +24,15 @@
   private OpenConnections() {}
 
   public static void main(String[] args) throws IOException {
-    int port = Integer.parseInt(args[0]);
+    InetSocketAddress address = Addresses.parse(args[0]);
     List<Socket> open = new ArrayList<>();
     BufferedReader input =
         new BufferedReader(new InputStreamReader(System.in, StandardCharsets.US_ASCII));
     byte[] buffer = new byte[1_024];
     for (String line = input.readLine(); line != null; line = input.readLine()) {
       while (open.size() < Integer.parseInt(line)) {
-        Socket socket = new Socket(InetAddress.getLoopbackAddress(), port);
+        Socket socket = new Socket();
+        socket.connect(address);
         socket.getOutputStream().write(REQUEST.getBytes(StandardCharsets.US_ASCII));
         InputStream response = socket.getInputStream();
         if (response.read(buffer) <= 0) {
--- a/src/test/java/fennelthread/net/RawConnection.java
+++ b/src/test/java/fennelthread/net/RawConnection.java
@@ -1,9 +1,9 @@
 package fennelthread.net;
 
+import fennelthread.emulate.Addresses;
 import java.io.BufferedInputStream;
 import java.io.IOException;
 import java.io.InputStream;
-import java.net.InetAddress;
 import java.net.Socket;
 import java.net.SocketException;
 import java.net.SocketTimeoutException;
@@ -15,9 +15,10 @@
   private final Socket socket;
   private final InputStream input;
 
-  /** Connects to a port of the loopback interface. */
-  public RawConnection(int port) throws IOException {
-    socket = new Socket(InetAddress.getLoopbackAddress(), port);
+  /** Connects to an address, host and port. */
+  public RawConnection(String address) throws IOException {
+    socket = new Socket();
+    socket.connect(Addresses.parse(address));
     socket.setTcpNoDelay(true);
     socket.setSoTimeout(READ_TIMEOUT_MS);
     input = new BufferedInputStream(socket.getInputStream());
--- a/src/test/java/fennelthread/net/RequestCostTest.java
+++ b/src/test/java/fennelthread/net/RequestCostTest.java
@@ -6,6 +6,7 @@
 import fennelthread.capacity.Quantity;
 import fennelthread.capacity.Slope;
 import fennelthread.capacity.SlopeCatalogue;
+import fennelthread.emulate.Addresses;
 import fennelthread.wire.Codec;
 import fennelthread.wire.Fields;
 import java.io.BufferedReader;
@@ -14,8 +15,6 @@
 import java.io.IOException;
 import java.lang.management.ManagementFactory;
 import java.lang.management.ThreadMXBean;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
@@ -42,15 +41,16 @@
   @Test
   void measuresProcessorTimePerRequest() throws Exception {
     XnioEventLoop eventLoop = new XnioEventLoop(100, 10, Set.of());
-    int port = freePort();
+    String address = LoopbackAddresses.next();
     byte[] body = Codec.CBOR.encode(Fields.create().with("texto", "x".repeat(300)));
     eventLoop.listen(
-        "127.0.0.1:" + port,
+        address,
         (request, reply) -> reply.accept(Answer.of(200, Codec.CBOR, Fields.create())),
-        "127.0.0.1:" + freePort(),
+        LoopbackAddresses.next(),
         (request, reply) -> reply.accept(Answer.error(404, "unknown path")));
     List<LinearFit.Point> points = new ArrayList<>();
-    try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
+    try (Socket socket = new Socket()) {
+      socket.connect(Addresses.parse(address));
       socket.setTcpNoDelay(true);
       sendRequests(socket, body, WARM_UP);
       for (int requests : new int[] {1_000, 2_000, 4_000, 8_000, 16_000}) {
@@ -72,11 +72,11 @@
   @Test
   void measuresHeapPerConnection() throws Exception {
     XnioEventLoop eventLoop = new XnioEventLoop(10_000, 10, Set.of());
-    int port = freePort();
+    String address = LoopbackAddresses.next();
     eventLoop.listen(
-        "127.0.0.1:" + port,
+        address,
         (request, reply) -> reply.accept(Answer.of(200, Codec.CBOR, Fields.create())),
-        "127.0.0.1:" + freePort(),
+        LoopbackAddresses.next(),
         (request, reply) -> reply.accept(Answer.error(404, "unknown path")));
     Process clients =
         new ProcessBuilder(
@@ -84,7 +84,7 @@
                 "-cp",
                 System.getProperty("java.class.path"),
                 OpenConnections.class.getName(),
-                String.valueOf(port))
+                address)
             .redirectError(ProcessBuilder.Redirect.INHERIT)
             .start();
     List<LinearFit.Point> points = new ArrayList<>();
@@ -158,10 +158,4 @@
     eventLoop.run(() -> nanos.complete(THREADS.getCurrentThreadCpuTime()));
     return nanos.get();
   }
-
-  private static int freePort() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      return socket.getLocalPort();
-    }
-  }
 }
--- a/src/test/java/fennelthread/net/ScriptedServer.java
+++ b/src/test/java/fennelthread/net/ScriptedServer.java
@@ -1,10 +1,10 @@
 package fennelthread.net;
 
+import fennelthread.emulate.Addresses;
 import java.io.BufferedInputStream;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.UncheckedIOException;
-import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -58,17 +58,19 @@
   private final ServerSocket listener;
   private final Script script;
   private final AtomicInteger connections = new AtomicInteger();
+  private final String address = LoopbackAddresses.next();
 
-  /** Starts to listen on a free port of the loopback interface. */
+  /** Starts to listen on an address of its own. */
   ScriptedServer(Script script) throws IOException {
     this.script = script;
-    this.listener = new ServerSocket(0, 16, InetAddress.getLoopbackAddress());
+    this.listener = new ServerSocket();
+    listener.bind(Addresses.parse(address));
     startThread(this::acceptConnections);
   }
 
   /** The address to connect to, host and port. */
   String address() {
-    return "127.0.0.1:" + listener.getLocalPort();
+    return address;
   }
 
   /** The number of connections so far. */
--- a/src/test/java/fennelthread/net/ServerFixture.java
+++ b/src/test/java/fennelthread/net/ServerFixture.java
@@ -7,8 +7,6 @@
 import fennelthread.net.RawRequest.Packets;
 import fennelthread.wire.Codec;
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.util.Queue;
 import java.util.Set;
@@ -46,19 +44,13 @@
   /** The methods, paths and bodies of the requests that were handled, as their answers say. */
   final Queue<String> handled = new ConcurrentLinkedQueue<>();
 
-  private final int apiPort;
-  private final int peerPort;
+  private final String apiAddress = LoopbackAddresses.next();
+  private final String peerAddress = LoopbackAddresses.next();
 
-  /** Starts the server on two free ports. */
+  /** Starts the server on two addresses of its own. */
   ServerFixture() throws IOException {
     eventLoop = new XnioEventLoop(MAX_SOCKETS, MAX_OUTBOUND_SOCKETS, Set.of());
-    apiPort = freePort();
-    peerPort = freePort();
-    eventLoop.listen(
-        "127.0.0.1:" + apiPort,
-        serviceOf(Listener.API),
-        "127.0.0.1:" + peerPort,
-        serviceOf(Listener.PEERS));
+    eventLoop.listen(apiAddress, serviceOf(Listener.API), peerAddress, serviceOf(Listener.PEERS));
   }
 
   private Service serviceOf(Listener listener) {
@@ -97,7 +89,8 @@
 
   /** Connects to a listener. */
   RawConnection connect(Listener listener) throws IOException, InterruptedException {
-    RawConnection connection = new RawConnection(listener == Listener.API ? apiPort : peerPort);
+    RawConnection connection =
+        new RawConnection(listener == Listener.API ? apiAddress : peerAddress);
     awaitRead();
     return connection;
   }
@@ -135,13 +128,6 @@
         .flatMap(listener -> Stream.of(framings).map(framing -> Arguments.of(listener, framing)));
   }
 
-  /** A port of the loopback interface that nothing listens on. */
-  static int freePort() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      return socket.getLocalPort();
-    }
-  }
-
   @Override
   public void close() {
     eventLoop.stop();
--- a/src/test/java/fennelthread/net/XnioEventLoopTest.java
+++ b/src/test/java/fennelthread/net/XnioEventLoopTest.java
@@ -5,7 +5,6 @@
 
 import fennelthread.wire.Codec;
 import fennelthread.wire.Fields;
-import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -29,17 +28,19 @@
   @Test
   void probesOfSilentMachinesLeaveSocketsForStarts() throws Exception {
     XnioEventLoop eventLoop = new XnioEventLoop(100, MAX_OUTBOUND_SOCKETS, Set.of());
-    String liveAddress = "127.0.0.1:" + freePort();
+    String liveAddress = LoopbackAddresses.next();
     eventLoop.listen(
         liveAddress,
         (request, reply) -> reply.accept(Answer.of(200, Codec.CBOR, Fields.create())),
-        "127.0.0.1:" + freePort(),
+        LoopbackAddresses.next(),
         (request, reply) -> reply.accept(Answer.error(404, "unknown path")));
     List<SocketChannel> backlogFillers = new ArrayList<>();
     // The server never accepts: once its backlog is full, connection attempts hang, as they do for
-    // machines
-    // that are cut off.
-    try (ServerSocket silentServer = new ServerSocket(0, 1, null)) {
+    // machines that are cut off.
+    try (ServerSocket silentServer = new ServerSocket()) {
+      // Shared with nobody, or another process could listen on the same port first.
+      silentServer.setReuseAddress(false);
+      silentServer.bind(null, 1);
       for (int i = 0; i < 4; i++) {
         SocketChannel filler = SocketChannel.open();
         filler.configureBlocking(false);
@@ -76,10 +77,4 @@
       eventLoop.stop();
     }
   }
-
-  private static int freePort() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0)) {
-      return socket.getLocalPort();
-    }
-  }
 }
