leader: a round lists the tasks of a waiting job without memory for each

Cause: each round made a list of up to 240 boxed task indexes of each released job, placeable or not: 4,856 bytes a job and round, garbage that a leader with thousands of waiting jobs makes each second. Change: consecutive tasks without a delay are given as a range; other lists hold plain ints. Rounds see the same tasks in the same order.

--- a/src/main/java/fennelthread/leader/ActiveJob.java
+++ b/src/main/java/fennelthread/leader/ActiveJob.java
@@ -7,6 +7,8 @@
 import fennelthread.jobs.Job;
 import fennelthread.wire.Priority;
 import it.unimi.dsi.fastutil.ints.Int2ObjectOpenHashMap;
+import it.unimi.dsi.fastutil.ints.IntArrayList;
+import it.unimi.dsi.fastutil.ints.IntList;
 import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.List;
@@ -250,11 +252,23 @@
 
   /**
    * The tasks, at most {@code maxTasks}, that may be started now: unfinished, on no machine, and
-   * not in backoff.
+   * not in backoff. While the tasks are consecutive, as those of a waiting job, the list takes no
+   * memory for each of them.
    */
-  List<Integer> startableTasks(long nowMs, int maxTasks) {
-    List<Integer> tasks = new ArrayList<>();
-    for (int task = begun.nextClearBit(0);
+  IntList startableTasks(long nowMs, int maxTasks) {
+    int first = begun.nextClearBit(0);
+    int end = Math.min(job.spec().tasks(), first + maxTasks);
+    int nextBegun = begun.nextSetBit(first);
+    boolean areConsecutive = nextBegun < 0 || nextBegun >= end;
+    if (areConsecutive && !backoff.hasRetryTimes()) {
+      return new TaskRange(first, Math.max(0, end - first));
+    }
+    return listStartableTasks(first, nowMs, maxTasks);
+  }
+
+  private IntList listStartableTasks(int first, long nowMs, int maxTasks) {
+    IntArrayList tasks = new IntArrayList();
+    for (int task = first;
         task < job.spec().tasks() && tasks.size() < maxTasks;
         task = begun.nextClearBit(task + 1)) {
       if (backoff.mayTry(task, nowMs)) {
--- a/src/main/java/fennelthread/leader/SnapshotBuilder.java
+++ b/src/main/java/fennelthread/leader/SnapshotBuilder.java
@@ -9,6 +9,7 @@
 import fennelthread.settings.Settings;
 import fennelthread.state.SizeLimits;
 import fennelthread.wire.MachineType;
+import it.unimi.dsi.fastutil.ints.IntList;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.IdentityHashMap;
@@ -66,7 +67,7 @@
   Optional<Snapshot> build() {
     demandListener.onCpuDemand(demand.cpus());
     int maxStarts = maxStarts();
-    Map<ActiveJob, List<Integer>> startable = demand.startableTasks(maxStarts * 4);
+    Map<ActiveJob, IntList> startable = demand.startableTasks(maxStarts * 4);
     if (startable.isEmpty()) {
       return Optional.empty();
     }
--- a/src/main/java/fennelthread/leader/TaskDemand.java
+++ b/src/main/java/fennelthread/leader/TaskDemand.java
@@ -10,6 +10,7 @@
 import fennelthread.plan.Snapshot;
 import fennelthread.settings.Settings;
 import fennelthread.wire.JobSpec;
+import it.unimi.dsi.fastutil.ints.IntList;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -47,13 +48,13 @@
   }
 
   /** The tasks that may be started now, at most {@code maxTasks} of each job. */
-  Map<ActiveJob, List<Integer>> startableTasks(int maxTasks) {
+  Map<ActiveJob, IntList> startableTasks(int maxTasks) {
     long nowMs = eventLoop.nowMs();
-    Map<ActiveJob, List<Integer>> startable = new LinkedHashMap<>();
+    Map<ActiveJob, IntList> startable = new LinkedHashMap<>();
     for (ActiveJob activeJob : term.activeJobs().all()) {
       // The only place that keeps jobs with unmet dependencies out of rounds.
       if (activeJob.isReleased() && activeJob.hasIdleTasks()) {
-        List<Integer> tasks = activeJob.startableTasks(nowMs, maxTasks);
+        IntList tasks = activeJob.startableTasks(nowMs, maxTasks);
         if (!tasks.isEmpty()) {
           startable.put(activeJob, tasks);
         }
@@ -67,7 +68,7 @@
    * task only.
    */
   List<Snapshot.PendingJob> pendingJobs(
-      Map<ActiveJob, List<Integer>> startable, Set<String> guaranteed, Aging aging) {
+      Map<ActiveJob, IntList> startable, Set<String> guaranteed, Aging aging) {
     List<Snapshot.PendingJob> pendingJobs = new ArrayList<>(startable.size());
     startable.forEach(
         (activeJob, tasks) -> {
@@ -88,7 +89,7 @@
   }
 
   private Snapshot.PendingJob pendingJob(
-      ActiveJob activeJob, List<Integer> tasks, Set<String> guaranteed, AgingBoost boost) {
+      ActiveJob activeJob, IntList tasks, Set<String> guaranteed, AgingBoost boost) {
     JobSpec spec = activeJob.job().spec();
     double expectedS = term.runTimes().expectedS(spec);
     double slackS = urgency.slackS(activeJob, expectedS);
--- a/src/test/java/fennelthread/leader/ActiveJobTest.java
+++ b/src/test/java/fennelthread/leader/ActiveJobTest.java
@@ -11,6 +11,7 @@
 import fennelthread.wire.Priority;
 import java.lang.management.ManagementFactory;
 import java.util.List;
+import java.util.function.Supplier;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -18,11 +19,17 @@
 /** What the leader holds of a live job. */
 class ActiveJobTest {
   private static final int WARM_UP = 1_000;
-  private static final int JOBS = 100;
+  private static final int CREATIONS = 100;
 
   /** The most that a waiting job may take in the leader, whatever its number of tasks. */
   private static final int MAX_WAITING_JOB_BYTES = 1_024;
 
+  /** How many of a job's tasks a round lists at most. */
+  private static final int MAX_TASKS_LISTED = 240;
+
+  /** The most that the list may take: less than one byte a task. */
+  private static final int MAX_LISTED_TASKS_BYTES = 64;
+
   private static ActiveJob job(int tasks) {
     return new ActiveJob(accepted(tasks));
   }
@@ -46,17 +53,31 @@
   @ValueSource(ints = {1, 100, 10_000, 100_000})
   void waitingJobTakesTheSameMemoryWhateverItsTasks(int tasks) {
     Job job = accepted(tasks);
-    ActiveJob[] held = new ActiveJob[JOBS];
+    long bytes = allocatedBytes(() -> new ActiveJob(job));
+    assertTrue(bytes <= MAX_WAITING_JOB_BYTES, bytes + " bytes");
+  }
+
+  /** Guards against rounds that fill the heap with the tasks of jobs that find no machine. */
+  @ParameterizedTest
+  @ValueSource(ints = {1, 100, 10_000, 100_000})
+  void tasksOfAWaitingJobAreListedWithoutMemoryForEach(int tasks) {
+    ActiveJob job = job(tasks);
+    long bytes = allocatedBytes(() -> job.startableTasks(0, MAX_TASKS_LISTED));
+    assertTrue(bytes <= MAX_LISTED_TASKS_BYTES, bytes + " bytes");
+  }
+
+  /** The bytes that one creation of an object allocates. */
+  private static long allocatedBytes(Supplier<Object> create) {
+    Object[] held = new Object[CREATIONS];
     for (int i = 0; i < WARM_UP; i++) {
-      held[i % JOBS] = new ActiveJob(job);
+      held[i % CREATIONS] = create.get();
     }
     ThreadMXBean threads = (ThreadMXBean) ManagementFactory.getThreadMXBean();
     long before = threads.getCurrentThreadAllocatedBytes();
-    for (int i = 0; i < JOBS; i++) {
-      held[i] = new ActiveJob(job);
+    for (int i = 0; i < CREATIONS; i++) {
+      held[i] = create.get();
     }
-    long bytes = (threads.getCurrentThreadAllocatedBytes() - before) / JOBS;
-    assertTrue(bytes <= MAX_WAITING_JOB_BYTES, bytes + " bytes");
+    return (threads.getCurrentThreadAllocatedBytes() - before) / CREATIONS;
   }
 
   @Test
@@ -67,6 +88,7 @@
     job.markFinished(3);
     assertEquals(List.of(0, 2, 4), job.startableTasks(0, 10));
     assertEquals(List.of(0, 2), job.startableTasks(0, 2));
+    assertEquals(List.of(0), job.startableTasks(0, 1));
     assertTrue(job.hasIdleTasks());
     job.markFinished(0);
     job.markFinished(2);
