jobs: live jobs that name the same jobs share their ids and hold small sets of them

Cause: a dependency of one live job on another took 168 bytes in each controller: a copy of the id from each record, an entry in the set of unmet dependencies and one in the set of dependants, both linked hash sets. Jobs that name 1,100 others took 181 KB each. Change: ids are shared (DependencyIds: the copy of the live job, or one copy while it is not live); the sets are open-addressing ones, and the order of unmet dependencies comes from the job's own list.

--- a/src/main/java/fennelthread/jobs/DependencyGraph.java
+++ b/src/main/java/fennelthread/jobs/DependencyGraph.java
@@ -2,6 +2,7 @@
 
 import fennelthread.wire.JobSpec;
 import fennelthread.wire.JobState;
+import it.unimi.dsi.fastutil.objects.ObjectLinkedOpenHashSet;
 import java.util.ArrayDeque;
 import java.util.Collection;
 import java.util.Collections;
@@ -87,8 +88,8 @@
     }
     DependencyNode node = new DependencyNode(job);
     nodes.put(id, node);
-    for (String dependency : node.unmet) {
-      dependants.computeIfAbsent(dependency, key -> new LinkedHashSet<>()).add(id);
+    for (String dependency : node.unmet()) {
+      dependants.computeIfAbsent(dependency, key -> new ObjectLinkedOpenHashSet<>(1)).add(id);
     }
     for (String dependency : job.spec().dependencies()) {
       Optional<FinalRecord> finalRecord = knownJobs.finalRecord(dependency);
@@ -100,7 +101,7 @@
         markToCancel(List.of(id));
       }
     }
-    inheritance.recompute(node.unmet);
+    inheritance.recompute(node.unmet());
   }
 
   /**
@@ -111,7 +112,7 @@
     toCancel.remove(id);
     DependencyNode node = nodes.remove(id);
     if (node != null) {
-      for (String dependency : node.unmet) {
+      for (String dependency : node.unmet()) {
         Set<String> others = dependants.get(dependency);
         others.remove(id);
         if (others.isEmpty()) {
@@ -119,7 +120,7 @@
           unresolved.remove(dependency);
         }
       }
-      inheritance.recompute(node.unmet);
+      inheritance.recompute(node.unmet());
     }
     if (dependants.containsKey(id)) {
       unresolved.add(id);
@@ -141,10 +142,10 @@
     inheritance.remove(id);
     for (String dependant : waitingDependants) {
       DependencyNode node = nodes.get(dependant);
-      node.unmet.remove(id);
+      node.markDone(id);
       // A record without a time holds 0: the job then counts as released when it was accepted.
       node.releasedAtMs = Math.max(node.releasedAtMs, finalRecord.endedWallMs());
-      if (node.unmet.isEmpty() && node.phase == Phase.WAITING) {
+      if (!node.hasUnmet() && node.phase == Phase.WAITING) {
         transitionTo(node, Phase.RELEASED);
       }
     }
@@ -183,7 +184,7 @@
   /** The dependencies of a live job that are not known to be done. */
   public List<String> unmetDependencies(String id) {
     DependencyNode node = nodes.get(id);
-    return node == null ? List.of() : List.copyOf(node.unmet);
+    return node == null ? List.of() : node.unmet();
   }
 
   /**
@@ -227,7 +228,7 @@
         continue;
       }
       transitionTo(node, Phase.TO_CANCEL);
-      affectedDependencies.addAll(node.unmet);
+      affectedDependencies.addAll(node.unmet());
       pending.addAll(dependants.getOrDefault(id, Set.of()));
     }
     inheritance.recompute(affectedDependencies);
--- a/src/main/java/fennelthread/jobs/JobTable.java
+++ b/src/main/java/fennelthread/jobs/JobTable.java
@@ -51,6 +51,7 @@
 
   private final Map<String, TreeMap<Integer, List<String>>> dependencyParts = new HashMap<>();
   private final Map<String, IncompleteJob> incompleteJobs = new HashMap<>();
+  private final DependencyIds dependencyIds = new DependencyIds();
   private final StartRecordIndex startRecordIndex = new StartRecordIndex();
   private final List<Listener> listeners = new ArrayList<>();
 
@@ -140,6 +141,7 @@
       incompleteJobs.remove(id);
       Job job = jobs.remove(id);
       if (job != null) {
+        dependencyIds.forget(job.spec().dependencies());
         List.copyOf(listeners).forEach(listener -> listener.onJobRemoved(job));
       }
       return;
@@ -186,10 +188,12 @@
     add(candidate.job.withDependencies(dependencies));
   }
 
-  private void add(Job job) throws WireException {
+  private void add(Job decoded) throws WireException {
+    Job job = withSharedDependencyIds(decoded);
     String id = job.spec().id();
     Map<String, Fields> chunks = earlyChunks.remove(id);
     jobs.put(id, job);
+    dependencyIds.forget(List.of(id));
     if (chunks != null) {
       for (Map.Entry<String, Fields> chunk : chunks.entrySet()) {
         onFinishedChunk(chunk.getKey(), chunk.getValue());
@@ -198,6 +202,20 @@
     List.copyOf(listeners).forEach(listener -> listener.onJobAdded(job));
   }
 
+  private Job withSharedDependencyIds(Job job) {
+    List<String> dependencies = job.spec().dependencies();
+    if (dependencies.isEmpty()) {
+      return job;
+    }
+    return job.withDependencies(dependencyIds.share(dependencies, this::liveId));
+  }
+
+  /** The copy that a live job holds of its own id, or null if it is not live. */
+  private String liveId(String id) {
+    Job job = jobs.get(id);
+    return job == null ? null : job.spec().id();
+  }
+
   private void onFinishedChunk(String key, Fields value) throws WireException {
     if (value == null) {
       return;
--- a/src/main/java/fennelthread/jobs/PriorityInheritance.java
+++ b/src/main/java/fennelthread/jobs/PriorityInheritance.java
@@ -60,7 +60,7 @@
       listener.onInheritedPriorityChanged(id);
       DependencyNode node = nodes.get(id);
       if (node != null) {
-        pending.addAll(node.unmet);
+        pending.addAll(node.unmet());
       }
     }
   }
--- a/src/test/java/fennelthread/net/RequestCostTest.java
+++ b/src/test/java/fennelthread/net/RequestCostTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
+import fennelthread.LiveHeap;
 import fennelthread.capacity.LinearFit;
 import fennelthread.capacity.Quantity;
 import fennelthread.capacity.Slope;
@@ -94,7 +95,7 @@
         commands.write(open + "\n");
         commands.flush();
         assertEquals("open", responses.readLine());
-        long live = liveBytes();
+        long live = LiveHeap.bytes();
         points.add(new LinearFit.Point(open, live));
         System.out.printf("%d connections: %d bytes live%n", open, live);
       }
@@ -105,18 +106,6 @@
     saveSlopes(List.of("leader"), "connection", Quantity.HEAP, points);
   }
 
-  /** The minimum of several: only every fourth full collection leaves no dead objects in place. */
-  private static long liveBytes() throws InterruptedException {
-    Runtime runtime = Runtime.getRuntime();
-    long minBytes = Long.MAX_VALUE;
-    for (int i = 0; i < 8; i++) {
-      System.gc();
-      Thread.sleep(50);
-      minBytes = Math.min(minBytes, runtime.totalMemory() - runtime.freeMemory());
-    }
-    return minBytes;
-  }
-
   private static void saveSlopes(
       List<String> roles, String cause, Quantity quantity, List<LinearFit.Point> points)
       throws IOException {
