jobs: a job is added without a look at the other dependants of what it names

Cause: when a job became live, what each job that it names inherits was computed anew from all of that job's dependants. Change: what the new job passes on is merged into what its dependencies inherit; one more dependant can only make a job more urgent. Removals compute anew as before.

--- a/src/main/java/fennelthread/jobs/DependencyGraph.java
+++ b/src/main/java/fennelthread/jobs/DependencyGraph.java
@@ -101,7 +101,7 @@
         markToCancel(List.of(id));
       }
     }
-    inheritance.recompute(node.unmet());
+    inheritance.include(node);
   }
 
   /**
--- a/src/main/java/fennelthread/jobs/PriorityInheritance.java
+++ b/src/main/java/fennelthread/jobs/PriorityInheritance.java
@@ -65,43 +65,96 @@
     }
   }
 
-  private InheritedPriority compute(String id) {
-    Priority priority = null;
-    long dueMs = 0;
-    long lastDueMs = 0;
-    for (String dependantId : dependants.getOrDefault(id, Set.of())) {
-      DependencyNode dependant = nodes.get(dependantId);
-      if (dependant.phase != DependencyGraph.Phase.WAITING) {
+  /**
+   * Adds what a job that has become live passes on to its unmet dependencies, and wherever that
+   * changes what they inherit, to theirs. Takes time by the dependencies alone: one more dependant
+   * can only make a job more urgent, so the others need not be looked at.
+   */
+  void include(DependencyNode added) {
+    Deque<DependencyNode> pending = new ArrayDeque<>();
+    pending.add(added);
+    while (!pending.isEmpty()) {
+      DependencyNode dependant = pending.poll();
+      InheritedPriority passedOn = passedOnBy(dependant);
+      if (passedOn == null) {
         continue;
       }
-      JobSpec spec = dependant.job.spec();
-      priority = moreUrgent(priority, spec.priority());
-      long expectedRunMs = (long) (spec.estimateS() * 1000);
-      if (spec.deadlineS() > 0) {
-        long acceptedMs = dependant.job.acceptedWallMs();
-        long lastDeadlineMs = (long) (lastDeadline.seconds(spec) * 1000);
-        dueMs = earlier(dueMs, acceptedMs + (long) (spec.deadlineS() * 1000) - expectedRunMs);
-        lastDueMs = earlier(lastDueMs, acceptedMs + lastDeadlineMs - expectedRunMs);
-      }
-      InheritedPriority inheritedByDependant = inherited.get(dependantId);
-      if (inheritedByDependant != null) {
-        priority = moreUrgent(priority, inheritedByDependant.priority());
-        if (inheritedByDependant.dueMs() > 0) {
-          dueMs = earlier(dueMs, inheritedByDependant.dueMs() - expectedRunMs);
-          lastDueMs = earlier(lastDueMs, inheritedByDependant.lastDueMs() - expectedRunMs);
+      for (String id : dependant.unmet()) {
+        InheritedPriority previous = inherited.get(id);
+        InheritedPriority updated = moreUrgent(previous, passedOn);
+        if (updated.equals(previous)) {
+          continue;
+        }
+        inherited.put(id, updated);
+        listener.onInheritedPriorityChanged(id);
+        DependencyNode node = nodes.get(id);
+        if (node != null) {
+          pending.add(node);
         }
       }
     }
-    return priority == null ? null : new InheritedPriority(priority, dueMs, lastDueMs);
   }
 
-  /** The more urgent of two priorities of which the first may be null. */
+  private InheritedPriority compute(String id) {
+    InheritedPriority result = null;
+    for (String dependantId : dependants.getOrDefault(id, Set.of())) {
+      InheritedPriority passedOn = passedOnBy(nodes.get(dependantId));
+      if (passedOn != null) {
+        result = moreUrgent(result, passedOn);
+      }
+    }
+    return result;
+  }
+
+  /** What a job's dependencies inherit from it; null if it does not wait for them. */
+  private InheritedPriority passedOnBy(DependencyNode dependant) {
+    if (dependant.phase != DependencyGraph.Phase.WAITING) {
+      return null;
+    }
+    JobSpec spec = dependant.job.spec();
+    Priority priority = spec.priority();
+    long expectedRunMs = (long) (spec.estimateS() * 1000);
+    long dueMs = 0;
+    long lastDueMs = 0;
+    if (spec.deadlineS() > 0) {
+      long acceptedMs = dependant.job.acceptedWallMs();
+      long lastDeadlineMs = (long) (lastDeadline.seconds(spec) * 1000);
+      dueMs = acceptedMs + (long) (spec.deadlineS() * 1000) - expectedRunMs;
+      lastDueMs = acceptedMs + lastDeadlineMs - expectedRunMs;
+    }
+    InheritedPriority ofDependant = inherited.get(dependant.id());
+    if (ofDependant != null) {
+      priority = moreUrgent(priority, ofDependant.priority());
+      if (ofDependant.dueMs() > 0) {
+        dueMs = earlier(dueMs, ofDependant.dueMs() - expectedRunMs);
+        lastDueMs = earlier(lastDueMs, ofDependant.lastDueMs() - expectedRunMs);
+      }
+    }
+    return new InheritedPriority(priority, dueMs, lastDueMs);
+  }
+
+  /** The more urgent of each value of two of which the first may be null. */
+  private static InheritedPriority moreUrgent(
+      InheritedPriority current, InheritedPriority candidate) {
+    if (current == null) {
+      return candidate;
+    }
+    return new InheritedPriority(
+        moreUrgent(current.priority(), candidate.priority()),
+        earlier(current.dueMs(), candidate.dueMs()),
+        earlier(current.lastDueMs(), candidate.lastDueMs()));
+  }
+
+  /** The more urgent of two priorities. */
   private static Priority moreUrgent(Priority current, Priority candidate) {
-    return current == null || candidate.compareTo(current) < 0 ? candidate : current;
+    return candidate.compareTo(current) < 0 ? candidate : current;
   }
 
-  /** The earlier of two times of which the first may be 0 for none, ms. */
+  /** The earlier of two times of which each may be 0 for none, ms. */
   private static long earlier(long currentMs, long candidateMs) {
-    return currentMs == 0 ? candidateMs : Math.min(currentMs, candidateMs);
+    if (currentMs == 0) {
+      return candidateMs;
+    }
+    return candidateMs == 0 ? currentMs : Math.min(currentMs, candidateMs);
   }
 }
--- a/src/test/java/fennelthread/jobs/DependencyGraphTest.java
+++ b/src/test/java/fennelthread/jobs/DependencyGraphTest.java
@@ -17,6 +17,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -41,9 +42,13 @@
         }
       };
   private int changeCount;
+  private int deadlinesComputed;
   private final DependencyGraph graph =
       new DependencyGraph(
-          spec -> spec.deadlineS() * 1.5,
+          spec -> {
+            deadlinesComputed++;
+            return spec.deadlineS() * 1.5;
+          },
           new DependencyGraph.Listener() {
             @Override
             public void onPhaseChanged(Job job, DependencyGraph.Phase newPhase) {
@@ -244,6 +249,21 @@
    * repeated updates: each step on a chain of 1,000 jobs makes a number of changes proportional to
    * its length.
    */
+  /** Guards against controllers that stand still while many jobs come that name the same jobs. */
+  @Test
+  void aJobIsAddedWithoutALookAtTheOtherDependants() {
+    List<String> dependencies = IntStream.range(0, 100).mapToObj(i -> "job-" + i).toList();
+    for (int i = 0; i < 100; i++) {
+      acceptJob(job(i, Priority.STANDARD, -1, List.of()));
+    }
+    for (int i = 100; i < 200; i++) {
+      acceptJob(job(i, Priority.STANDARD, 100, dependencies));
+    }
+    deadlinesComputed = 0;
+    acceptJob(job(200, Priority.STANDARD, 100, dependencies));
+    assertTrue(deadlinesComputed <= dependencies.size(), deadlinesComputed + " looks at jobs");
+  }
+
   @Test
   void aLongChainIsUpdatedWithoutRecursionOrExtraChanges() {
     acceptJob(job(0, Priority.BEST_EFFORT, -1, List.of()));
