admission: one budget of memory for accepted jobs, the same at all controllers

Cause: only the controller whose own heap was nearly full refused jobs, after a window of 4 s and a collection; followers went on accepting what the leader, or the next one, could not hold. Change: each controller estimates from the records what the live jobs, their dependencies and started tasks take of a leader's heap (BacklogSize), charges a job before it is accepted, and compares with the smallest figure of all controllers (MemoryBudget). Heartbeats carry the figure and whether the heap is under pressure; a peer of an older version tells neither and is not counted. Otherwise: 503, Retry-After 10, at all controllers alike. Questions, cancellations and reports do not ask the budget.

--- a/src/main/java/fennelthread/Controller.java
+++ b/src/main/java/fennelthread/Controller.java
@@ -1,5 +1,7 @@
 package fennelthread;
 
+import fennelthread.admission.BacklogSize;
+import fennelthread.admission.MemoryBudget;
 import fennelthread.api.Api;
 import fennelthread.constants.RelayConstants;
 import fennelthread.control.CurrentTerm;
@@ -66,6 +68,7 @@
   private final WorkerReachability reachability;
   private final CommandSender commands;
   private final MemoryPressureMonitor memory;
+  private final MemoryBudget memoryBudget;
   private final LeaderElection election;
   private final FollowerLeaseRenewer renewer;
   private final ZoneMonitor zones;
@@ -103,6 +106,7 @@
         new MemoryPressureMonitor(eventLoop, new ControllerMemory(records, workers, currentTerm));
     this.election =
         new LeaderElection(eventLoop, settings, peers, records.state(), records.replica(), lease);
+    this.memoryBudget = createMemoryBudget();
     Handover handover = new Handover(records.state(), peers);
     this.renewer = createLeaseRenewer();
     this.zones = new ZoneMonitor(settings);
@@ -146,6 +150,11 @@
         this::onUnreachableLeaderNotice);
   }
 
+  private MemoryBudget createMemoryBudget() {
+    BacklogSize backlog = new BacklogSize(records.table());
+    return new MemoryBudget(eventLoop, memory, backlog, peers, settings.maxConnections());
+  }
+
   private FollowerLeaseRenewer createLeaseRenewer() {
     return new FollowerLeaseRenewer(
         eventLoop,
@@ -193,7 +202,8 @@
         settings,
         records.store(),
         records.table(),
-        new ControllerConditions(records.replica(), stateServiceCheck, peers, memory, machineTypes),
+        new ControllerConditions(records.replica(), stateServiceCheck, peers, machineTypes),
+        memoryBudget,
         reports::handle);
   }
 
--- a/src/main/java/fennelthread/ControllerConditions.java
+++ b/src/main/java/fennelthread/ControllerConditions.java
@@ -3,7 +3,6 @@
 import fennelthread.api.ServingConditions;
 import fennelthread.control.MachineTypes;
 import fennelthread.control.StateServiceCheck;
-import fennelthread.health.MemoryPressureMonitor;
 import fennelthread.peers.PeerHeartbeats;
 import fennelthread.state.Replica;
 import fennelthread.wire.MachineType;
@@ -14,19 +13,16 @@
   private final Replica replica;
   private final StateServiceCheck stateServiceCheck;
   private final PeerHeartbeats peers;
-  private final MemoryPressureMonitor memory;
   private final MachineTypes machineTypes;
 
   ControllerConditions(
       Replica replica,
       StateServiceCheck stateServiceCheck,
       PeerHeartbeats peers,
-      MemoryPressureMonitor memory,
       MachineTypes machineTypes) {
     this.replica = replica;
     this.stateServiceCheck = stateServiceCheck;
     this.peers = peers;
-    this.memory = memory;
     this.machineTypes = machineTypes;
   }
 
@@ -40,11 +36,6 @@
     return peers.hasHeardOutdatedPeer();
   }
 
-  @Override
-  public boolean isMemoryShort() {
-    return memory.isUnderPressure();
-  }
-
   @Override
   public Map<String, MachineType> machineTypes() {
     return machineTypes.byName();
--- a/src/main/java/fennelthread/api/Api.java
+++ b/src/main/java/fennelthread/api/Api.java
@@ -1,5 +1,6 @@
 package fennelthread.api;
 
+import fennelthread.admission.MemoryBudget;
 import fennelthread.constants.ApiConstants;
 import fennelthread.jobs.JobStore;
 import fennelthread.jobs.JobTable;
@@ -34,6 +35,7 @@
       JobStore store,
       JobTable table,
       ServingConditions conditions,
+      MemoryBudget budget,
       ReportReceiver reports) {
     this.eventLoop = eventLoop;
     this.conditions = conditions;
@@ -45,6 +47,7 @@
             store,
             new Feasibility(settings, conditions, unavailableAnswers),
             conditions,
+            budget,
             jobRequests,
             unavailableAnswers);
   }
--- a/src/main/java/fennelthread/api/ServingConditions.java
+++ b/src/main/java/fennelthread/api/ServingConditions.java
@@ -11,9 +11,6 @@
   /** Returns true while some peer runs a version that ignores dependencies between jobs. */
   boolean isOutdatedPeerServing();
 
-  /** Returns true while there is no memory for more jobs. */
-  boolean isMemoryShort();
-
   /** Returns the machine types by name; empty while none are known. */
   Map<String, MachineType> machineTypes();
 }
--- a/src/main/java/fennelthread/api/Submissions.java
+++ b/src/main/java/fennelthread/api/Submissions.java
@@ -1,5 +1,6 @@
 package fennelthread.api;
 
+import fennelthread.admission.MemoryBudget;
 import fennelthread.constants.ApiConstants;
 import fennelthread.jobs.AcceptResult;
 import fennelthread.jobs.DependencyCheckResult;
@@ -22,11 +23,10 @@
  * is answered with its state, even if the repeated body differs or is invalid.
  */
 final class Submissions {
-  private static final String NO_MEMORY = "no memory for more jobs";
-
   private final JobStore store;
   private final Feasibility feasibility;
   private final ServingConditions conditions;
+  private final MemoryBudget budget;
   private final JobRequests jobRequests;
   private final UnavailableAnswers unavailableAnswers;
 
@@ -34,11 +34,13 @@
       JobStore store,
       Feasibility feasibility,
       ServingConditions conditions,
+      MemoryBudget budget,
       JobRequests jobRequests,
       UnavailableAnswers unavailableAnswers) {
     this.store = store;
     this.feasibility = feasibility;
     this.conditions = conditions;
+    this.budget = budget;
     this.jobRequests = jobRequests;
     this.unavailableAnswers = unavailableAnswers;
   }
@@ -71,18 +73,34 @@
   }
 
   private void admit(Submission submission, Consumer<Answer> reply) {
-    String id = submission.spec().id();
-    if (conditions.isMemoryShort() && !store.isKnownAccepted(id)) {
-      unavailableAnswers.count(NO_MEMORY);
-      rejectUnlessAccepted(
-          id, Answer.later(503, NO_MEMORY, ApiConstants.MEMORY_SHORT_RETRY_AFTER_S), reply);
-    } else if (submission.spec().dependencies().isEmpty() || store.isKnownAccepted(id)) {
+    JobSpec spec = submission.spec();
+    if (store.isKnownAccepted(spec.id())) {
       accept(submission, reply);
+      return;
+    }
+    MemoryBudget.Refusal refusal = budget.reserve(spec);
+    if (refusal != null) {
+      rejectForMemory(spec.id(), refusal, reply);
+      return;
+    }
+    Consumer<Answer> releasingReply =
+        answer -> {
+          budget.release(spec);
+          reply.accept(answer);
+        };
+    if (spec.dependencies().isEmpty()) {
+      accept(submission, releasingReply);
     } else {
-      checkDependencies(submission, reply);
+      checkDependencies(submission, releasingReply);
     }
   }
 
+  private void rejectForMemory(String id, MemoryBudget.Refusal refusal, Consumer<Answer> reply) {
+    unavailableAnswers.count(refusal.text());
+    rejectUnlessAccepted(
+        id, Answer.later(503, refusal.text(), ApiConstants.MEMORY_SHORT_RETRY_AFTER_S), reply);
+  }
+
   private void checkDependencies(Submission submission, Consumer<Answer> reply) {
     String id = submission.spec().id();
     if (conditions.isOutdatedPeerServing()) {
--- a/src/main/java/fennelthread/jobs/JobTable.java
+++ b/src/main/java/fennelthread/jobs/JobTable.java
@@ -93,6 +93,11 @@
         + startRecordIndex.count();
   }
 
+  /** The number of starts in all start records. */
+  public long recordedStartCount() {
+    return startRecordIndex.count();
+  }
+
   /**
    * The recorded start of an attempt at a task on a machine, or null; the same attempt in two
    * records counts as one start.
--- a/src/main/java/fennelthread/jobs/StartRecordIndex.java
+++ b/src/main/java/fennelthread/jobs/StartRecordIndex.java
@@ -18,6 +18,8 @@
    */
   private final Map<String, Map<String, List<StartRecord.Start>>> startsByJob = new HashMap<>();
 
+  private int count;
+
   /**
    * The records by key, in the order in which they became known; callers must not change the map.
    */
@@ -28,6 +30,7 @@
   /** Adds or replaces a record. */
   void put(String key, StartRecord record) {
     removeFromIndex(key, records.put(key, record));
+    count += record.starts().size();
     for (StartRecord.Start start : record.starts()) {
       startsByJob
           .computeIfAbsent(start.task().job(), job -> new LinkedHashMap<>())
@@ -45,6 +48,7 @@
     if (removed == null) {
       return;
     }
+    count -= removed.starts().size();
     for (StartRecord.Start start : removed.starts()) {
       startsByJob.computeIfPresent(
           start.task().job(),
@@ -54,11 +58,7 @@
 
   /** The number of starts in all records; a start in two records counts twice. */
   int count() {
-    int starts = 0;
-    for (StartRecord record : records.values()) {
-      starts += record.starts().size();
-    }
-    return starts;
+    return count;
   }
 
   /** The recorded start of an attempt at a task on a machine, or null. */
--- a/src/main/java/fennelthread/peers/PeerHeartbeat.java
+++ b/src/main/java/fennelthread/peers/PeerHeartbeat.java
@@ -16,17 +16,20 @@
  * @param renewal about the renewal of leases; null from a version that never renews leases in place
  *     of a silent leader
  * @param addresses changes to the workers' addresses
+ * @param memory about the sender's heap; null from a version that does not tell
  */
 public record PeerHeartbeat(
     HeartbeatSender sender,
     PeerFeatures features,
     long promisedEpoch,
     RenewalStatus renewal,
-    WorkerAddressUpdate addresses) {
+    WorkerAddressUpdate addresses,
+    MemoryStatus memory) {
 
-  /** A heartbeat of this version without a promise, a renewal status or addresses. */
+  /** A heartbeat of this version without the parts that subsystems add. */
   public static PeerHeartbeat of(HeartbeatSender sender) {
-    return new PeerHeartbeat(sender, PeerFeatures.current(), 0, null, WorkerAddressUpdate.none());
+    return new PeerHeartbeat(
+        sender, PeerFeatures.current(), 0, null, WorkerAddressUpdate.none(), null);
   }
 
   /** The name of the controller that sends it. */
@@ -51,16 +54,21 @@
 
   /** A copy with a promise to help nobody take over from the leader of {@code epoch}. */
   public PeerHeartbeat withPromise(long epoch) {
-    return new PeerHeartbeat(sender, features, epoch, renewal, addresses);
+    return new PeerHeartbeat(sender, features, epoch, renewal, addresses, memory);
   }
 
   /** A copy with a status of the renewal of leases. */
   public PeerHeartbeat withRenewal(RenewalStatus status) {
-    return new PeerHeartbeat(sender, features, promisedEpoch, status, addresses);
+    return new PeerHeartbeat(sender, features, promisedEpoch, status, addresses, memory);
   }
 
   PeerHeartbeat withAddresses(WorkerAddressUpdate update) {
-    return new PeerHeartbeat(sender, features, promisedEpoch, renewal, update);
+    return new PeerHeartbeat(sender, features, promisedEpoch, renewal, update, memory);
+  }
+
+  /** A copy with a status of the sender's heap. */
+  public PeerHeartbeat withMemory(MemoryStatus status) {
+    return new PeerHeartbeat(sender, features, promisedEpoch, renewal, addresses, status);
   }
 
   Fields write() {
@@ -80,6 +88,9 @@
     if (renewal != null) {
       fields.with("keep", renewal.write());
     }
+    if (memory != null) {
+      fields.with("memory", memory.write());
+    }
     return fields.with("workers", addresses.changed()).with("gone", addresses.removed());
   }
 
@@ -104,7 +115,8 @@
         fields.has("keep") ? RenewalStatus.read(fields.inner("keep")) : null,
         new WorkerAddressUpdate(
             changedAddresses,
-            fields.optTexts("gone") == null ? List.of() : fields.optTexts("gone")));
+            fields.optTexts("gone") == null ? List.of() : fields.optTexts("gone")),
+        fields.has("memory") ? MemoryStatus.read(fields.inner("memory")) : null);
   }
 
   private static Map<String, String> readChangedAddresses(Fields fields) throws WireException {
--- a/src/main/java/fennelthread/simulation/SimulatedControllers.java
+++ b/src/main/java/fennelthread/simulation/SimulatedControllers.java
@@ -99,6 +99,9 @@
   /** Starts a controller of the version that its member has now. */
   void start(String member) {
     SimulatedProcess process = new SimulatedProcess(network, member);
+    if (processes.containsKey(member)) {
+      process.heapBytes = processes.get(member).heapBytes;
+    }
     Settings memberSettings = settingsOf(member, settings.teams());
     SimulatedCluster.ControllerHandle controller =
         productionMembers.contains(member)
--- a/src/main/java/fennelthread/simulation/SimulatedProcess.java
+++ b/src/main/java/fennelthread/simulation/SimulatedProcess.java
@@ -230,6 +230,9 @@
   /** Live share of the heap; garbage is not simulated. */
   double liveHeapShare = 0.3;
 
+  /** The size of the heap, bytes; the member's next process takes it over. */
+  long heapBytes = 64 << 20;
+
   @Override
   public Heap heap() {
     return new Heap() {
@@ -240,7 +243,7 @@
 
       @Override
       public long mostBytes() {
-        return 64 << 20;
+        return heapBytes;
       }
 
       @Override
--- a/src/test/java/fennelthread/peers/PeerHeartbeatTest.java
+++ b/src/test/java/fennelthread/peers/PeerHeartbeatTest.java
@@ -21,6 +21,7 @@
           + "\"deaf\":false,\"promises\":true,\"promised\":0,"
           + "\"keep\":{\"hears\":true,\"after\":4,\"still\":7,\"withdrawn\":[\"job-000001\"],\"to\":5,"
           + "\"all\":true,\"keeping\":false,\"kept_ms_ago\":900},"
+          + "\"memory\":{\"job_bytes\":30000000,\"short\":true},"
           + "\"workers\":{\"n-1\":\"10.1.0.1:9000\"},\"gone\":[\"n-2\"]}";
 
   private static final RenewalStatus RENEWAL =
@@ -38,7 +39,8 @@
             new PeerFeatures(true, true, true),
             0,
             RENEWAL,
-            new WorkerAddressUpdate(Map.of("n-1", "10.1.0.1:9000"), List.of("n-2")));
+            new WorkerAddressUpdate(Map.of("n-1", "10.1.0.1:9000"), List.of("n-2")),
+            new MemoryStatus(30_000_000, true));
     assertEquals(
         CURRENT_FORMAT, new String(Codec.JSON.encode(heartbeat.write()), StandardCharsets.UTF_8));
     assertEquals(heartbeat, read(CURRENT_FORMAT));
@@ -56,6 +58,7 @@
             .features()
             .dependencies());
     assertNull(read(CURRENT_FORMAT.replace("keep", "kept")).renewal());
+    assertNull(read(CURRENT_FORMAT.replace("memory", "unknown_field")).memory());
     assertEquals(
         PeerConstants.NEVER_RENEWED,
         read(CURRENT_FORMAT.replace(",\"kept_ms_ago\":900", "")).renewal().renewedAgoMs());
