--- a/src/main/java/fennelthread/cli/Emulate.java
+++ b/src/main/java/fennelthread/cli/Emulate.java
@@ -53,6 +53,12 @@
       description = "Replaces the file's number of workers.")
   private Integer workers;
 
+  @Option(
+      names = "--faults",
+      paramLabel = "FAULTS.sexp",
+      description = "A file (faults (fault ...) ...) whose faults replace those of the run.")
+  private Path faults;
+
   @Option(
       names = "--report",
       paramLabel = "FILE.json",
@@ -84,6 +90,7 @@
         Emulation.prepare(
             new Emulation.Request(
                 configuration,
+                faults,
                 workers,
                 durationS,
                 seed,
--- a/src/main/java/fennelthread/constants/EmulationConstants.java
+++ b/src/main/java/fennelthread/constants/EmulationConstants.java
@@ -14,6 +14,15 @@
   /** The port of all emulated machines: below the ephemeral port range. */
   public static final int WORKER_PORT = 19_000;
 
+  /** Longest run, and latest moment of one that a configuration may name, s. */
+  public static final int MAX_RUN_S = 86_400;
+
+  /** Most task starts a second that a configuration may ask for. */
+  public static final double MAX_STARTS_PER_S = 10_000_000;
+
+  /** Most jobs that a job may wait for in a configuration. */
+  public static final int MAX_NAMED_JOBS = 1_100;
+
   /** The port on which emulated controllers serve users and workers. */
   public static final int API_PORT = 18_080;
 
--- a/src/main/java/fennelthread/emulate/ControllerFleet.java
+++ b/src/main/java/fennelthread/emulate/ControllerFleet.java
@@ -5,9 +5,11 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 
 /** The real controllers, one process each, with the settings files that they read. */
@@ -17,6 +19,7 @@
   private final ChildProcesses processes;
   private final Path directory;
   private final List<Process> running = new ArrayList<>();
+  private final Set<Process> killed = new HashSet<>();
   private int kills;
 
   ControllerFleet(
@@ -85,6 +88,7 @@
   /** Ends a controller with SIGKILL. */
   synchronized void kill(int member) {
     kills++;
+    killed.add(running.get(member));
     running.get(member).destroyForcibly();
   }
 
@@ -101,11 +105,11 @@
     }
   }
 
-  /** Controllers whose process has ended. */
-  synchronized List<Integer> ended() {
+  /** Controllers whose process has ended without having been killed. */
+  synchronized List<Integer> endedByThemselves() {
     List<Integer> ended = new ArrayList<>();
     for (int i = 0; i < running.size(); i++) {
-      if (!running.get(i).isAlive()) {
+      if (!running.get(i).isAlive() && !killed.contains(running.get(i))) {
         ended.add(i);
       }
     }
--- a/src/main/java/fennelthread/emulate/EmulatedUsers.java
+++ b/src/main/java/fennelthread/emulate/EmulatedUsers.java
@@ -9,6 +9,8 @@
 import fennelthread.wire.JobSpec;
 import fennelthread.wire.JobState;
 import fennelthread.wire.WireException;
+import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -56,6 +58,7 @@
   private final Measurements measurements;
   private final Consumer<JobSpec> publish;
   private final Map<String, Job> jobs = new LinkedHashMap<>();
+  private final Map<String, List<String>> acceptedByClass = new HashMap<>();
   private final Map<String, Long> statuses = new TreeMap<>();
   private long arrivalsFromMs;
   private long arrivedUntilMs;
@@ -119,7 +122,7 @@
     arrivedUntilMs = now;
     if (arriving) {
       for (JobGenerator.Arrival arrival : generator.arrivals(atS, withinS)) {
-        Job job = new Job(arrival.job());
+        Job job = new Job(withNamedJobs(arrival));
         jobs.put(job.spec.id(), job);
         publish.accept(job.spec);
         history.add(new HistoryEvent.Submits(System.nanoTime(), job.spec));
@@ -131,6 +134,16 @@
     }
   }
 
+  private JobSpec withNamedJobs(JobGenerator.Arrival arrival) {
+    EmulationConfig.NamedJobs named = arrival.named();
+    if (named == null) {
+      return arrival.job();
+    }
+    List<String> accepted = acceptedByClass.getOrDefault(named.jobClass(), List.of());
+    int count = Math.min(named.count(), accepted.size());
+    return arrival.job().withDependencies(List.copyOf(accepted.subList(0, count)));
+  }
+
   private void submit(Job job) {
     long sentNanos = System.nanoTime();
     ask(
@@ -143,6 +156,9 @@
           }
           if (isGood(answer)) {
             accepted++;
+            acceptedByClass
+                .computeIfAbsent(job.spec.jobClass(), name -> new ArrayList<>())
+                .add(job.spec.id());
             poll(job);
           } else if (answer != null && (answer.status() == 400 || answer.status() == 422)) {
             refused++;
--- a/src/main/java/fennelthread/emulate/Emulation.java
+++ b/src/main/java/fennelthread/emulate/Emulation.java
@@ -28,6 +28,7 @@
    * What a run is asked for.
    *
    * @param configuration the run's settings file
+   * @param faults a file whose faults replace those of the settings file, null to keep these
    * @param workers replaces the file's number of workers, null to keep it
    * @param durationS how long users submit, s
    * @param seed decides all that is drawn at random
@@ -36,6 +37,7 @@
    */
   public record Request(
       Path configuration,
+      Path faults,
       Integer workers,
       double durationS,
       long seed,
@@ -81,7 +83,8 @@
   /** Reads and checks what a run needs, without starting anything. */
   public static Emulation prepare(Request request, PrintStream out)
       throws SettingsException, IOException {
-    EmulationConfig config = EmulationConfigReader.load(request.configuration(), request.workers());
+    EmulationConfig config =
+        EmulationConfigReader.load(request.configuration(), request.faults(), request.workers());
     ResourceCheck.Needs needs = ResourceCheck.needs(config, Runtime.getRuntime().maxMemory() >> 20);
     ResourceCheck.check(
         needs,
@@ -242,7 +245,7 @@
 
   // ---------------------------------------------------------------- run
 
-  private void measureRun() throws InterruptedException {
+  private void measureRun() throws IOException, InterruptedException {
     long durationMs = (long) (request.durationS() * 1000);
     measurements.measureFrom(
         System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(config.measureFromMs()));
@@ -268,7 +271,8 @@
   }
 
   /** Adds a second to the figures and prints it; false if too much memory is in use. */
-  private boolean sample(double atS, double seconds) {
+  private boolean sample(double atS, double seconds) throws IOException {
+    restartEndedControllers();
     long resident = recorder.observe(pids(), seconds);
     WorkerTraffic traffic = workers.traffic();
     Sample s =
@@ -295,6 +299,14 @@
     return memory < 0 || resident < memory / 2;
   }
 
+  /** Enters controllers that ended by themselves into the verdict, and starts them anew. */
+  private void restartEndedControllers() throws IOException {
+    for (int member : controllers.endedByThemselves()) {
+      checker.controllerEnded(System.nanoTime(), ControllerFleet.name(member));
+      controllers.restart(member);
+    }
+  }
+
   private Map<String, Long> pids() {
     Map<String, Long> pids = new LinkedHashMap<>();
     for (int i = 0; i < config.controllers(); i++) {
--- a/src/main/java/fennelthread/emulate/EmulationConfig.java
+++ b/src/main/java/fennelthread/emulate/EmulationConfig.java
@@ -85,6 +85,9 @@
    * @param taskS a task's run time, s
    * @param images how many images its jobs use
    * @param cancelShare share of its jobs that their users cancel
+   * @param arrivesFromS when its jobs begin to arrive, s of the run
+   * @param arrivesUntilS when they cease to arrive, s of the run
+   * @param named the jobs that each of its jobs waits for, null if it waits for none
    */
   record JobClass(
       String name,
@@ -101,7 +104,24 @@
       boolean spot,
       boolean onePlace,
       boolean apart,
-      double cancelShare) {}
+      double cancelShare,
+      double arrivesFromS,
+      double arrivesUntilS,
+      NamedJobs named) {
+
+    /** True if its jobs arrive at that moment of the run, s. */
+    boolean arrivesAt(double atS) {
+      return atS >= arrivesFromS && atS < arrivesUntilS;
+    }
+  }
+
+  /**
+   * Jobs that others wait for: the first of a class that were accepted.
+   *
+   * @param jobClass the name of their class
+   * @param count how many
+   */
+  record NamedJobs(String jobClass, int count) {}
 
   /** A point of the curve that the base load is multiplied by; linear in between. */
   record CurvePoint(double atS, double factor) {}
--- a/src/main/java/fennelthread/emulate/EmulationConfigReader.java
+++ b/src/main/java/fennelthread/emulate/EmulationConfigReader.java
@@ -1,5 +1,6 @@
 package fennelthread.emulate;
 
+import fennelthread.constants.EmulationConstants;
 import fennelthread.emulate.EmulationConfig.CloudSettings;
 import fennelthread.emulate.EmulationConfig.CurvePoint;
 import fennelthread.emulate.EmulationConfig.Fault;
@@ -7,6 +8,7 @@
 import fennelthread.emulate.EmulationConfig.FleetPart;
 import fennelthread.emulate.EmulationConfig.JobClass;
 import fennelthread.emulate.EmulationConfig.Load;
+import fennelthread.emulate.EmulationConfig.NamedJobs;
 import fennelthread.emulate.EmulationConfig.Range;
 import fennelthread.emulate.EmulationConfig.StateSettings;
 import fennelthread.emulate.EmulationConfig.TeamSettings;
@@ -32,19 +34,36 @@
  */
 final class EmulationConfigReader {
   private static final String ROOT = "emulation";
+  private static final String FAULTS_ROOT = "faults";
   private final SettingsNode root;
+  private final SettingsNode faultsRoot;
   private final int workers;
 
-  private EmulationConfigReader(SettingsNode root, Integer workers) throws SettingsException {
+  private EmulationConfigReader(SettingsNode root, SettingsNode faultsRoot, Integer workers)
+      throws SettingsException {
     this.root = root;
+    this.faultsRoot = faultsRoot;
     int written = root.count("workers", 1, 20_000, null);
     this.workers = workers == null ? written : workers;
   }
 
-  /** Reads and checks a file; {@code workers} replaces the file's number unless it is null. */
-  static EmulationConfig load(Path file, Integer workers) throws SettingsException {
+  /**
+   * Reads and checks a file.
+   *
+   * @param faults a file {@code (faults (fault ...) ...)} whose faults replace those of the first
+   *     file, null to keep these
+   * @param workers replaces the file's number of workers, null to keep it
+   */
+  static EmulationConfig load(Path file, Path faults, Integer workers) throws SettingsException {
+    SettingsNode root = SettingsNode.parse(file.toString(), text(file), ROOT);
+    SettingsNode faultsRoot =
+        faults == null ? root : SettingsNode.parse(faults.toString(), text(faults), FAULTS_ROOT);
+    return new EmulationConfigReader(root, faultsRoot, workers).config();
+  }
+
+  private static String text(Path file) throws SettingsException {
     try {
-      return parse(file.toString(), Files.readString(file), workers);
+      return Files.readString(file);
     } catch (IOException e) {
       throw new SettingsException(file + ": can't be read: " + e.getMessage());
     }
@@ -52,7 +71,8 @@
 
   /** Parses a file's text; {@code name} is used in messages. */
   static EmulationConfig parse(String name, String text, Integer workers) throws SettingsException {
-    return new EmulationConfigReader(SettingsNode.parse(name, text, ROOT), workers).config();
+    SettingsNode root = SettingsNode.parse(name, text, ROOT);
+    return new EmulationConfigReader(root, root, workers).config();
   }
 
   private EmulationConfig config() throws SettingsException {
@@ -79,9 +99,11 @@
             teams,
             classes,
             load(classes),
-            root.millis("measure-from-s", 0, 86_400, 0.0),
+            root.millis("measure-from-s", 0, EmulationConstants.MAX_RUN_S, 0.0),
             faults(controllers, zones));
+    root.all("fault");
     root.refuseUnknown();
+    faultsRoot.refuseUnknown();
     return config;
   }
 
@@ -205,7 +227,7 @@
               owners,
               node.number("share", 0.0001, 1_000, 1.0),
               range(node, "tasks", 1, JobSpec.MAX_TASKS),
-              range(node, "task-s", 0.1, 86_400),
+              range(node, "task-s", 0.1, EmulationConstants.MAX_RUN_S),
               node.number("cpus", 0.01, 10_000, 1.0),
               node.number("mem-gb", 0.01, 100_000, 1.0),
               node.count("images", 1, 10_000, 4),
@@ -213,12 +235,39 @@
               isYes(node, "spot", "yes"),
               isYes(node, "one-place", "no"),
               isYes(node, "apart", "no"),
-              node.number("cancel-share", 0, 1, 0.0)));
+              node.number("cancel-share", 0, 1, 0.0),
+              node.number("from-s", 0, EmulationConstants.MAX_RUN_S, 0.0),
+              node.number(
+                  "until-s",
+                  0,
+                  EmulationConstants.MAX_RUN_S,
+                  (double) EmulationConstants.MAX_RUN_S),
+              namedJobs(node)));
       node.refuseUnknown();
     }
+    for (JobClass jobClass : classes) {
+      NamedJobs named = jobClass.named();
+      if (named != null && classes.stream().noneMatch(c -> isArrayOf(c, named.jobClass()))) {
+        throw root.wrong("has no class of arrays that others wait for: " + named.jobClass());
+      }
+    }
     return classes;
   }
 
+  private static boolean isArrayOf(JobClass jobClass, String name) {
+    return !jobClass.service() && jobClass.name().equals(name);
+  }
+
+  private static NamedJobs namedJobs(SettingsNode jobClass) throws SettingsException {
+    SettingsNode node = jobClass.one("waits-for");
+    if (node == null) {
+      return null;
+    }
+    List<String> values = node.values(2);
+    double count = node.numberAt(1, 2, 1, EmulationConstants.MAX_NAMED_JOBS);
+    return new NamedJobs(values.get(0), (int) count);
+  }
+
   private static boolean isYes(SettingsNode node, String name, String fallback)
       throws SettingsException {
     return node.choice(name, fallback, "yes", "no").equals("yes");
@@ -250,11 +299,11 @@
       double meanS = classes.stream().mapToDouble(c -> c.share() * c.taskS().mean()).sum() / shares;
       startsPerS = running / meanS;
     } else {
-      startsPerS = node.number("starts-per-s", 0.01, 1_000_000, null);
+      startsPerS = node.number("starts-per-s", 0.01, EmulationConstants.MAX_STARTS_PER_S, null);
     }
     List<CurvePoint> curve = new ArrayList<>();
     for (SettingsNode point : node.all("at")) {
-      double atS = point.numberAt(0, 2, 0, 86_400);
+      double atS = point.numberAt(0, 2, 0, EmulationConstants.MAX_RUN_S);
       if (!curve.isEmpty() && atS <= curve.get(curve.size() - 1).atS()) {
         throw point.wrong("must come later than the one before it");
       }
@@ -269,7 +318,7 @@
 
   private List<Fault> faults(int controllers, List<String> zones) throws SettingsException {
     List<Fault> faults = new ArrayList<>();
-    for (SettingsNode node : root.all("fault")) {
+    for (SettingsNode node : faultsRoot.all("fault")) {
       String[] words = Arrays.stream(FaultKind.values()).map(k -> k.word).toArray(String[]::new);
       String word = node.choice("kind", null, words);
       FaultKind kind =
@@ -284,8 +333,8 @@
       faults.add(
           new Fault(
               kind,
-              node.millis("at-s", 0, 86_400, null),
-              node.millis("every-s", 0, 86_400, 0.0),
+              node.millis("at-s", 0, EmulationConstants.MAX_RUN_S, null),
+              node.millis("every-s", 0, EmulationConstants.MAX_RUN_S, 0.0),
               target,
               node.millis("for-s", 0, 3_600, 2.0),
               kind == FaultKind.STATE_SLOW ? node.count("extra-ms", 1, 60_000, 200) : 0));
--- a/src/main/java/fennelthread/emulate/HistoryChecker.java
+++ b/src/main/java/fennelthread/emulate/HistoryChecker.java
@@ -138,6 +138,11 @@
     }
   }
 
+  /** Takes that a controller ended which nobody had killed. */
+  synchronized void controllerEnded(long nanos, String controller) {
+    broken("controller_ended", nanos, controller + " ended by itself");
+  }
+
   private void broken(String rule, long nanos, String detail) {
     violationCount++;
     if (violations.size() < EmulationConstants.MAX_VIOLATIONS_LISTED) {
--- a/src/main/java/fennelthread/emulate/JobGenerator.java
+++ b/src/main/java/fennelthread/emulate/JobGenerator.java
@@ -19,14 +19,23 @@
     this.shares = config.jobClasses().stream().mapToDouble(JobClass::share).sum();
   }
 
-  /** A job and when its user cancels it, s after its submission; less than 0 if never. */
-  record Arrival(JobSpec job, double cancelAfterS) {}
+  /**
+   * A job that a user is about to submit.
+   *
+   * @param job the job, without the jobs that it waits for
+   * @param cancelAfterS when its user cancels it, s after its submission; less than 0 if never
+   * @param named the jobs that it waits for, null if none
+   */
+  record Arrival(JobSpec job, double cancelAfterS, EmulationConfig.NamedJobs named) {}
 
   /** The jobs that arrive within a short time, s, around a moment of the run, s. */
   List<Arrival> arrivals(double atS, double withinS) {
     double starts = config.load().startsPerSecond(atS) * withinS;
     List<Arrival> arrivals = new ArrayList<>();
     for (JobClass jobClass : config.jobClasses()) {
+      if (!jobClass.arrivesAt(atS)) {
+        continue;
+      }
       double mean = starts * jobClass.share() / shares / jobClass.tasks().mean();
       for (int n = poisson(mean); n > 0; n--) {
         arrivals.add(draw(jobClass));
@@ -66,6 +75,6 @@
             .build();
     boolean cancels = c.service() || random.nextDouble() < c.cancelShare();
     double cancelAfterS = c.service() ? taskS : taskS * random.nextDouble();
-    return new Arrival(job, cancels ? cancelAfterS : -1);
+    return new Arrival(job, cancels ? cancelAfterS : -1, c.named());
   }
 }
--- a/src/test/java/fennelthread/emulate/EmulateTest.java
+++ b/src/test/java/fennelthread/emulate/EmulateTest.java
@@ -46,7 +46,7 @@
     ByteArrayOutputStream printed = new ByteArrayOutputStream();
     Emulation emulation =
         Emulation.prepare(
-            new Emulation.Request(configuration, null, 10, 1, file, "test"),
+            new Emulation.Request(configuration, null, null, 10, 1, file, "test"),
             new PrintStream(printed, true, StandardCharsets.UTF_8));
 
     int broken = emulation.run();
--- a/src/test/java/fennelthread/emulate/EmulationConfigReaderTest.java
+++ b/src/test/java/fennelthread/emulate/EmulationConfigReaderTest.java
@@ -1,7 +1,9 @@
 package fennelthread.emulate;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import fennelthread.settings.SettingsException;
 import java.nio.file.Files;
@@ -69,15 +71,50 @@
     assertEquals(message, e.getMessage());
   }
 
-  static List<Path> deployed() throws Exception {
-    try (Stream<Path> files = Files.list(Path.of("deploy"))) {
+  @Test
+  void readsTheJobsThatOthersWaitFor() throws SettingsException {
+    String waiting =
+        "(job-class (name next) (teams red) (tasks 1 1) (task-s 2 4) (waits-for quick 5) (from-s 7))";
+    EmulationConfig config =
+        EmulationConfigReader.parse("f", GOOD.replace("  (load", waiting + "\n  (load"), null);
+    EmulationConfig.JobClass next = config.jobClasses().get(1);
+    assertEquals(new EmulationConfig.NamedJobs("quick", 5), next.named());
+    assertFalse(next.arrivesAt(6.9));
+    assertTrue(next.arrivesAt(7));
+    String unknown = GOOD.replace("  (load", waiting.replace("quick", "slow") + "\n  (load");
+    SettingsException e =
+        assertThrows(
+            SettingsException.class, () -> EmulationConfigReader.parse("f", unknown, null));
+    assertEquals(
+        "f:2:1: emulation has no class of arrays that others wait for: slow", e.getMessage());
+  }
+
+  private static List<Path> deployed(String directory) throws Exception {
+    try (Stream<Path> files = Files.list(Path.of(directory))) {
       return files.filter(p -> p.toString().endsWith(".sexp")).toList();
     }
   }
 
+  static List<Path> deployed() throws Exception {
+    return deployed("deploy");
+  }
+
+  static List<Path> deployedFaults() throws Exception {
+    return deployed("deploy/faults");
+  }
+
+  /** Faults of a file of their own replace those of the run. */
+  @ParameterizedTest
+  @MethodSource("deployedFaults")
+  void readsFaultsThatAreDeployed(Path faults) throws SettingsException {
+    Path run = Path.of("deploy/emulate-fan-in.sexp");
+    assertEquals(List.of(), EmulationConfigReader.load(run, null, null).faults());
+    assertEquals(2, EmulationConfigReader.load(run, faults, null).faults().size());
+  }
+
   @ParameterizedTest
   @MethodSource("deployed")
   void readsWhatIsDeployed(Path file) throws SettingsException {
-    EmulationConfigReader.load(file, null);
+    EmulationConfigReader.load(file, null, null);
   }
 }
