--- a/src/main/java/fennelthread/simulation/SimulatedCluster.java
+++ b/src/main/java/fennelthread/simulation/SimulatedCluster.java
@@ -412,6 +412,11 @@
     checker.recordTaskEnd(worker, spec, index, completed);
   }
 
+  @Override
+  public void onCompletionForgotten(JobSpec spec, int index) {
+    checker.recordCompletionForgotten(spec, index);
+  }
+
   @Override
   public void onExpectedCompletion(WorkerEmulator worker, JobSpec spec, int index, long atMs) {
     cancellations.recordExpectedEnd(spec, index, atMs);
