--- a/src/main/java/fennelthread/net/HttpClient.java
+++ b/src/main/java/fennelthread/net/HttpClient.java
@@ -13,19 +13,16 @@
 import io.undertow.util.Protocols;
 import java.io.IOException;
 import java.net.URI;
-import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
-import org.xnio.ChannelListener;
 import org.xnio.IoUtils;
 import org.xnio.OptionMap;
 import org.xnio.Options;
 import org.xnio.XnioIoThread;
-import org.xnio.channels.StreamSinkChannel;
 import org.xnio.channels.StreamSourceChannel;
 
 /**
@@ -377,7 +374,8 @@
                     pending.finish(null, false);
                   }
                 });
-            write(pending, exchange.getRequestChannel(), body);
+            new RequestWriter(body, () -> pending.finish(null, false))
+                .start(exchange.getRequestChannel());
           }
 
           @Override
@@ -387,39 +385,6 @@
         });
   }
 
-  private static void write(PendingCall pending, StreamSinkChannel channel, byte[] body) {
-    ByteBuffer data = ByteBuffer.wrap(body == null ? new byte[0] : body);
-    ChannelListener<StreamSinkChannel> writer =
-        new ChannelListener<>() {
-          private boolean isShutDown;
-
-          @Override
-          public void handleEvent(StreamSinkChannel sink) {
-            try {
-              while (data.hasRemaining()) {
-                if (sink.write(data) == 0) {
-                  sink.resumeWrites();
-                  return;
-                }
-              }
-              if (!isShutDown) {
-                isShutDown = true;
-                sink.shutdownWrites();
-              }
-              if (!sink.flush()) {
-                sink.resumeWrites();
-                return;
-              }
-              sink.suspendWrites();
-            } catch (IOException e) {
-              pending.finish(null, false);
-            }
-          }
-        };
-    channel.getWriteSetter().set(writer);
-    writer.handleEvent(channel);
-  }
-
   private void receive(PendingCall pending, ClientExchange exchange) {
     ResponseOutcome outcome = new ResponseOutcome(pending, exchange.getResponse());
     new BodyReader(buffers, NetConstants.MAX_ANSWER_BYTES, outcome)
