HTTP client: an address that nothing uses is forgotten (found by reading)

Cause: the client kept an entry for each address that was ever called. Machines come and go with their addresses, so that the map of a leader, and of each follower that relays, only grew. Change: an address is forgotten once it has no connection, no attempt to open one and no waiting call; a call knows its destination itself.

--- a/src/main/java/fennelthread/net/HttpClient.java
+++ b/src/main/java/fennelthread/net/HttpClient.java
@@ -64,6 +64,11 @@
     this.essentialAddresses = essentialAddresses;
   }
 
+  /** The number of addresses that have a connection, an attempt to open one or a waiting call. */
+  int destinationCount() {
+    return destinations.size();
+  }
+
   /** The number of sockets in use, including those of connection attempts. */
   int socketCount() {
     return socketCount;
@@ -88,6 +93,9 @@
     final ArrayDeque<PooledConnection> idle = new ArrayDeque<>();
     final ArrayDeque<PendingCall> waitingCalls = new ArrayDeque<>();
 
+    /** Open connections, in use or idle. */
+    int connections;
+
     /** Connection attempts that have neither ended nor timed out; bounded for each address. */
     int attemptsInFlight;
 
@@ -104,7 +112,7 @@
 
   /** A call in flight or waiting for a connection; exactly one of its callbacks is called, once. */
   private final class PendingCall {
-    final String address;
+    final Destination destination;
     final Call call;
     final Consumer<Answer> done;
     final EventLoop.Unsent unsent;
@@ -112,9 +120,10 @@
     PooledConnection pooled;
     boolean isFinished;
 
-    PendingCall(String address, Call call, Consumer<Answer> done, EventLoop.Unsent unsent) {
+    PendingCall(
+        Destination destination, Call call, Consumer<Answer> done, EventLoop.Unsent unsent) {
       this.unsent = unsent;
-      this.address = address;
+      this.destination = destination;
       this.call = call;
       this.done = done;
     }
@@ -126,7 +135,7 @@
       }
       if (answer == null && pooled == null) {
         // It was never handed to a connection, and never will be once it is finished.
-        finishUnsent(!destinations.get(address).isQueued);
+        finishUnsent(!destination.isQueued);
         return;
       }
       markFinished();
@@ -144,6 +153,7 @@
     void finishUnsent(boolean wasTried) {
       if (!isFinished) {
         markFinished();
+        forgetIfUnused(destination);
         XnioEventLoop.logExceptions(() -> unsent.over(wasTried)).run();
       }
     }
@@ -191,8 +201,21 @@
     pooled.destination.idle.remove(pooled);
     if (pooled.isCounted) {
       pooled.isCounted = false;
+      pooled.destination.connections--;
       socketCount--;
       openWaitingDestinations();
+      forgetIfUnused(pooled.destination);
+    }
+  }
+
+  /** Machines come and go with their addresses: one that nothing uses is not kept. */
+  private void forgetIfUnused(Destination destination) {
+    destination.waitingCalls.removeIf(waiting -> waiting.isFinished);
+    if (destination.connections == 0
+        && destination.openingSockets == 0
+        && destination.waitingCalls.isEmpty()
+        && !destination.isQueued) {
+      destinations.remove(destination.address, destination);
     }
   }
 
@@ -208,15 +231,16 @@
       if (!destination.waitingCalls.isEmpty()) {
         open(destination, destination.waitingCalls.stream().allMatch(p -> p.call.spare()));
       }
+      forgetIfUnused(destination);
     }
   }
 
   /** Sends a request; the callbacks follow the contract of {@link EventLoop#call}. */
   void call(
       String address, Call call, long timeoutMs, Consumer<Answer> done, EventLoop.Unsent unsent) {
-    PendingCall pending = new PendingCall(address, call, done, unsent);
-    pending.timer = eventLoop.after(timeoutMs, () -> pending.finish(null, false));
     Destination destination = destinations.computeIfAbsent(address, Destination::new);
+    PendingCall pending = new PendingCall(destination, call, done, unsent);
+    pending.timer = eventLoop.after(timeoutMs, () -> pending.finish(null, false));
     while (!destination.idle.isEmpty()) {
       PooledConnection pooled = destination.idle.pop();
       idleConnections.remove(pooled);
@@ -234,6 +258,8 @@
       return;
     }
     destination.waitingCalls.add(pending);
+    // To close its last connection may have removed it.
+    destinations.put(address, destination);
     // A spare call starts no attempt while another one holds a socket, even if that has timed out.
     if (!call.spare() || destination.openingSockets == 0) {
       open(destination, call.spare());
@@ -320,6 +346,7 @@
     public void completed(ClientConnection connection) {
       stopCounting();
       PooledConnection pooled = new PooledConnection(connection, destination);
+      destination.connections++;
       connection.getCloseSetter().set(c -> release(pooled));
       assignOrPool(pooled);
     }
@@ -330,10 +357,14 @@
       stopCounting();
       socketCount--;
       openWaitingDestinations();
-      if (hasTimedOut) {
-        // The calls that wait now are left to later attempts and to their own timeouts.
-        return;
+      // The calls that wait after a timeout are left to later attempts and to their own timeouts.
+      if (!hasTimedOut) {
+        failNextCall();
       }
+      forgetIfUnused(destination);
+    }
+
+    private void failNextCall() {
       PendingCall next = pollWaitingCall(destination);
       if (next != null) {
         next.finish(null, false);
@@ -352,7 +383,7 @@
             .setMethod(new HttpString(pending.call.method()))
             .setPath(pending.call.path())
             .setProtocol(Protocols.HTTP_1_1);
-    request.getRequestHeaders().put(Headers.HOST, pending.address);
+    request.getRequestHeaders().put(Headers.HOST, pending.destination.address);
     request.getRequestHeaders().put(Headers.CONTENT_LENGTH, body == null ? 0 : body.length);
     if (body != null) {
       request.getRequestHeaders().put(Headers.CONTENT_TYPE, pending.call.codec().contentType());
--- a/src/main/java/fennelthread/net/XnioEventLoop.java
+++ b/src/main/java/fennelthread/net/XnioEventLoop.java
@@ -62,6 +62,11 @@
         new InboundConnections<>(this::nowMs, maxSockets, client::socketCount, IoUtils::safeClose);
   }
 
+  /** The number of addresses of which the client holds anything. */
+  int destinationCount() {
+    return client.destinationCount();
+  }
+
   /** Runs a task on the event loop's thread; may be called from any thread. */
   public void run(Runnable task) {
     thread.execute(logExceptions(task));
--- a/src/test/java/fennelthread/net/HttpClientTest.java
+++ b/src/test/java/fennelthread/net/HttpClientTest.java
@@ -275,4 +275,44 @@
       }
     }
   }
+
+  /**
+   * Guards against a process that grows with each machine that ever was: an address is forgotten
+   * once its connections are closed, whether its calls were answered, timed out or met no server.
+   */
+  @Test
+  void addressesThatNothingUsesAreForgotten() throws Exception {
+    ScriptedServer.Script script =
+        exchange -> {
+          if (exchange.request.contains("/silent")) {
+            Thread.sleep(4 * SHORT_TIMEOUT_MS);
+          } else {
+            exchange.send(Framing.FIXED_LENGTH.response(200, exchange.request));
+          }
+        };
+    for (int i = 0; i < 3 * MAX_OUTBOUND_SOCKETS; i++) {
+      try (ScriptedServer server = new ScriptedServer(script)) {
+        assertTrue(call(server, "/answered", CALL_TIMEOUT_MS).isPresent());
+        assertTrue(call(server, "/silent", SHORT_TIMEOUT_MS).isEmpty());
+        server.close();
+        awaitEnd(start(server, "/ended", CALL_TIMEOUT_MS));
+      }
+    }
+    awaitNoDestinations();
+  }
+
+  private static void awaitEnd(CompletableFuture<Optional<Answer>> answer) throws Exception {
+    answer.handle((received, failure) -> received).get(2L * CALL_TIMEOUT_MS, TimeUnit.MILLISECONDS);
+  }
+
+  private void awaitNoDestinations() throws Exception {
+    int count = Integer.MAX_VALUE;
+    for (int i = 0; i < CALL_TIMEOUT_MS / SHORT_TIMEOUT_MS && count > 0; i++) {
+      Thread.sleep(SHORT_TIMEOUT_MS);
+      CompletableFuture<Integer> counted = new CompletableFuture<>();
+      eventLoop.run(() -> counted.complete(eventLoop.destinationCount()));
+      count = counted.get(CALL_TIMEOUT_MS, TimeUnit.MILLISECONDS);
+    }
+    assertEquals(0, count, "addresses held");
+  }
 }
--- a/src/test/java/fennelthread/net/ScriptedServer.java
+++ b/src/test/java/fennelthread/net/ScriptedServer.java
@@ -58,6 +58,7 @@
   private final ServerSocket listener;
   private final Script script;
   private final AtomicInteger connections = new AtomicInteger();
+  private final List<Socket> accepted = new CopyOnWriteArrayList<>();
   private final String address = LoopbackAddresses.next();
 
   /** Starts to listen on an address of its own. */
@@ -88,7 +89,12 @@
     while (!listener.isClosed()) {
       try {
         Socket socket = listener.accept();
+        accepted.add(socket);
         connections.incrementAndGet();
+        if (listener.isClosed()) {
+          socket.close();
+          return;
+        }
         socket.setTcpNoDelay(true);
         startThread(() -> serve(socket));
       } catch (IOException e) {
@@ -146,8 +152,12 @@
     return text.getBytes(StandardCharsets.ISO_8859_1);
   }
 
+  /** Listens no more and closes all connections. */
   @Override
   public void close() throws IOException {
     listener.close();
+    for (Socket socket : accepted) {
+      socket.close();
+    }
   }
 }
