relay: routes of workers that are gone are dropped (found by reading)

Cause: a leader kept the route of each worker that was heard through a peer until the worker reported directly or the term ended; a machine that was returned meanwhile did neither. Change: routes are a class of their own (RelayRoutes) and drop those that are no longer valid when others are recorded, at most once in the time for which a route is valid. Test: RelayRoutesTest.routesOfWorkersThatAreGoneAreDropped (10,000 workers in turn; without the removal 10,000 routes are held, by the code before).

--- a/src/main/java/fennelthread/relay/CommandSender.java
+++ b/src/main/java/fennelthread/relay/CommandSender.java
@@ -15,8 +15,6 @@
 import fennelthread.wire.Fields;
 import fennelthread.wire.WireException;
 import fennelthread.wire.WorkerReport;
-import java.util.HashMap;
-import java.util.Map;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 
@@ -42,15 +40,11 @@
     Answer answer(WorkerReport report, long epoch, String peer);
   }
 
-  /** The peer through which a worker was last heard from, and when. */
-  private record RelayRoute(String peer, long heardAtMs) {}
-
   private final EventLoop eventLoop;
-  private final Settings settings;
   private final PeerHeartbeats peers;
   private final WorkerReachability reachability;
   private final LongSupplier highestEpoch;
-  private final Map<String, RelayRoute> routesByWorker = new HashMap<>();
+  private final RelayRoutes routes;
   private long epoch;
   private long relayedCommands;
 
@@ -68,21 +62,22 @@
       WorkerReachability reachability,
       LongSupplier highestEpoch) {
     this.eventLoop = eventLoop;
-    this.settings = settings;
     this.peers = peers;
     this.reachability = reachability;
     this.highestEpoch = highestEpoch;
+    this.routes =
+        new RelayRoutes((long) (settings.workers().reportMs() * RelayConstants.MAX_MISSED_REPORTS));
   }
 
   /** Starts a term of this controller as leader of {@code newEpoch}; forgets all relay routes. */
   public void beginTerm(long newEpoch) {
     epoch = newEpoch;
-    routesByWorker.clear();
+    routes.clear();
   }
 
   /** Records that a worker reported to this leader directly: commands to it need no peer. */
   public void onDirectReport(String machine) {
-    routesByWorker.remove(machine);
+    routes.forget(machine);
   }
 
   /** The number of commands and probes sent through peers since the start of the process. */
@@ -160,7 +155,7 @@
                   timeoutMs - (eventLoop.nowMs() - startedAtMs),
                   answer -> {
                     if (answer != null && !isFinished) {
-                      routesByWorker.put(machine.name(), new RelayRoute(peer, eventLoop.nowMs()));
+                      routes.record(machine.name(), peer, eventLoop.nowMs());
                     }
                     onAttemptDone(answer);
                   },
@@ -241,15 +236,11 @@
 
   /** The peer through which to reach a worker, or null to reach it directly. */
   private String choosePeer(Machine machine) {
-    RelayRoute route = routesByWorker.get(machine.name());
-    if (route != null) {
-      if (eventLoop.nowMs() - route.heardAtMs
-              <= settings.workers().reportMs() * RelayConstants.MAX_MISSED_REPORTS
-          && peers.canRelayThrough(route.peer)) {
-        return route.peer;
-      }
-      routesByWorker.remove(machine.name());
+    String peer = routes.peerOf(machine.name(), eventLoop.nowMs());
+    if (peer != null && peers.canRelayThrough(peer)) {
+      return peer;
     }
+    routes.forget(machine.name());
     return reachability.areWorkersUnreachable() ? peers.bestRelay() : null;
   }
 
@@ -278,8 +269,7 @@
     RelayWire.Report report = RelayWire.Report.read(Codec.JSON.decode(request.body()));
     Answer answer = reports.answer(report.workerReport(), report.epoch(), report.from());
     if (answer != null && answer.status() == 200) {
-      routesByWorker.put(
-          report.workerReport().machine(), new RelayRoute(report.from(), eventLoop.nowMs()));
+      routes.record(report.workerReport().machine(), report.from(), eventLoop.nowMs());
     }
     reply.accept(
         Answer.of(
