leader: rounds forget the loads of machines that are gone (found by reading)

Cause: SnapshotBuilder kept what it had added up for each machine, with its running tasks, until the end of the term. Change: what belongs to no machine of the fleet is dropped at the next round. Without a test of its own: a matter of memory only, nothing reads what is dropped.

--- a/src/main/java/fennelthread/leader/SnapshotBuilder.java
+++ b/src/main/java/fennelthread/leader/SnapshotBuilder.java
@@ -11,6 +11,8 @@
 import fennelthread.wire.MachineType;
 import it.unimi.dsi.fastutil.ints.IntList;
 import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.IdentityHashMap;
 import java.util.List;
@@ -94,6 +96,7 @@
     Fleet fleet = term.fleet();
     Map<String, MachineType> types = machineTypes.byName();
     List<Snapshot.MachineState> ready = new ArrayList<>();
+    forgetLoadsOfRemovedMachines(fleet.machines());
     for (Machine machine : fleet.machines()) {
       MachineLoad load = loads.computeIfAbsent(machine, k -> new MachineLoad());
       load.update(machine, types.get(machine.type()), term);
@@ -105,6 +108,14 @@
     return ready;
   }
 
+  private void forgetLoadsOfRemovedMachines(Collection<Machine> machines) {
+    if (loads.size() > machines.size()) {
+      Set<Machine> present = Collections.newSetFromMap(new IdentityHashMap<>());
+      present.addAll(machines);
+      loads.keySet().retainAll(present);
+    }
+  }
+
   private Map<String, Snapshot.TeamUsage> teamUsage(Map<String, ResourceSum> usedByTeam) {
     Map<String, Snapshot.TeamUsage> usage = new HashMap<>();
     for (Settings.Team team : settings.teams().values()) {
