jobs: a malformed chunk of finished tasks no longer hides its job (found by reading)

Cause: JobTable.add read the chunks that had arrived before their job between adding it and telling the listeners; a chunk that can't be read ended that with an exception, so that the dependency graph and the leader never heard of the job. A key that does not end with a number did the same with a NumberFormatException, out of the replica's update. Change: each early chunk is read for itself and logged if it can't be; Keys.partNumberOf names the key. Test: JobTableTest.aMalformedChunkOfFinishedTasksDoesNotHideItsJob, both cases failed before.

--- a/src/main/java/fennelthread/jobs/JobTable.java
+++ b/src/main/java/fennelthread/jobs/JobTable.java
@@ -129,7 +129,7 @@
         onStartRecord(key, value);
       }
     } catch (WireException e) {
-      log.error("record unreadable key={} reason={}", key, e.getMessage());
+      logUnreadable(key, e);
     }
   }
 
@@ -181,7 +181,7 @@
    * Adds a job once all parts of its dependencies have arrived. They may arrive after the job's own
    * record, since the pages of one load are not read at the same revision.
    */
-  private void addIfComplete(String id) throws WireException {
+  private void addIfComplete(String id) {
     IncompleteJob candidate = incompleteJobs.get(id);
     if (candidate == null
         || dependencyParts.getOrDefault(id, new TreeMap<>()).size() < candidate.partCount) {
@@ -193,7 +193,7 @@
     add(candidate.job.withDependencies(dependencies));
   }
 
-  private void add(Job decoded) throws WireException {
+  private void add(Job decoded) {
     Job job = withSharedDependencyIds(decoded);
     String id = job.spec().id();
     Map<String, Fields> chunks = earlyChunks.remove(id);
@@ -201,12 +201,24 @@
     dependencyIds.forget(List.of(id));
     if (chunks != null) {
       for (Map.Entry<String, Fields> chunk : chunks.entrySet()) {
-        onFinishedChunk(chunk.getKey(), chunk.getValue());
+        addEarlyChunk(chunk.getKey(), chunk.getValue());
       }
     }
     List.copyOf(listeners).forEach(listener -> listener.onJobAdded(job));
   }
 
+  private void addEarlyChunk(String key, Fields value) {
+    try {
+      onFinishedChunk(key, value);
+    } catch (WireException e) {
+      logUnreadable(key, e);
+    }
+  }
+
+  private static void logUnreadable(String key, WireException e) {
+    log.error("record unreadable key={} reason={}", key, e.getMessage());
+  }
+
   private Job withSharedDependencyIds(Job job) {
     List<String> dependencies = job.spec().dependencies();
     if (dependencies.isEmpty()) {
--- a/src/main/java/fennelthread/state/Keys.java
+++ b/src/main/java/fennelthread/state/Keys.java
@@ -1,5 +1,7 @@
 package fennelthread.state;
 
+import fennelthread.wire.WireException;
+
 /**
  * The layout of the keys in the state service. All keys that controllers watch are under one
  * prefix. Final records are outside of it, so that a controller that starts loads only live jobs.
@@ -119,8 +121,15 @@
   /**
    * The number of the chunk or part that a key under {@link #FINISHED_TASKS_PREFIX} or {@link
    * #DEPENDENCIES_PREFIX} holds.
+   *
+   * @throws WireException if the key does not end with a number
    */
-  public static int partNumberOf(String key) {
-    return Integer.parseInt(key.substring(key.lastIndexOf('/') + 1));
+  public static int partNumberOf(String key) throws WireException {
+    int numberAt = key.lastIndexOf('/') + 1;
+    try {
+      return Integer.parseUnsignedInt(key, numberAt, key.length(), 10);
+    } catch (NumberFormatException e) {
+      throw new WireException("key", "does not end with a number");
+    }
   }
 }
--- a/src/test/java/fennelthread/jobs/JobTableTest.java
+++ b/src/test/java/fennelthread/jobs/JobTableTest.java
@@ -4,13 +4,19 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTimeoutPreemptively;
 
+import fennelthread.settings.Settings;
 import fennelthread.state.Keys;
+import fennelthread.state.SizeLimits;
+import fennelthread.wire.Fields;
 import fennelthread.wire.JobSpec;
 import fennelthread.wire.TaskRef;
+import fennelthread.wire.WireException;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Tests the job table's index of recorded starts by job. */
 class JobTableTest {
@@ -85,4 +91,29 @@
     table.onChange(Keys.startRecord(1, 2), startRecord(5, 6).encode(), 4);
     assertEquals(1, startedTaskCount());
   }
+
+  /** A chunk of finished tasks that can't be read keeps nobody from knowing its job. */
+  @ParameterizedTest
+  @ValueSource(strings = {"/0", "/x"})
+  void aMalformedChunkOfFinishedTasksDoesNotHideItsJob(String end) throws WireException {
+    List<Job> added = new ArrayList<>();
+    table.addListener(
+        new JobTable.Listener() {
+          @Override
+          public void onJobAdded(Job job) {
+            added.add(job);
+          }
+
+          @Override
+          public void onJobRemoved(Job job) {}
+        });
+    String id = HUGE_JOB.id();
+    Fields malformed = Fields.create().with("r", "no list");
+    table.onChange(Keys.FINISHED_TASKS_PREFIX + id + end, malformed, 1);
+    SizeLimits limits = new SizeLimits(new Settings.StateLimits(500, 300, 16 * 1024, 12));
+    JobRecordCodec.encode(HUGE_JOB, 1, limits)
+        .forEach((key, record) -> table.onChange(key, record, 2));
+    assertEquals(List.of(id), added.stream().map(job -> job.spec().id()).toList());
+    assertEquals(added.get(0), table.get(id));
+  }
 }
