jobs: a null in a start record makes it unreadable, not half read (found by reading)

Cause: StartRecord.decode cast its values: a null for the job, team or machine passed, one for a number ended in a NullPointerException out of the replica's update. Change: each value is checked for its type; the record is refused as a whole, as with other malformed values. Test: RecordsTest.aStartRecordWithAMalformedValueIsUnreadable (each value null or a list); failed before.

--- a/src/main/java/fennelthread/jobs/StartRecord.java
+++ b/src/main/java/fennelthread/jobs/StartRecord.java
@@ -86,30 +86,55 @@
    */
   public static StartRecord decode(Fields value) throws WireException {
     List<Start> starts = new ArrayList<>();
-    try {
-      for (Object job : value.list("j")) {
-        decodeJob((List<?>) job, starts);
+    for (Object job : value.list("j")) {
+      if (!(job instanceof List<?> values)
+          || values.size() < JobConstants.START_RECORD_HEAD_VALUES) {
+        throw malformed();
       }
-    } catch (ClassCastException | IndexOutOfBoundsException e) {
-      throw new WireException("j", "is not a list of starts");
+      decodeJob(values, starts);
     }
     return new StartRecord(starts);
   }
 
-  private static void decodeJob(List<?> job, List<Start> starts) {
-    String id = (String) job.get(0);
-    String team = (String) job.get(1);
-    double cpus = ((Number) job.get(2)).doubleValue();
-    double cards = ((Number) job.get(3)).doubleValue();
-    double memGb = ((Number) job.get(4)).doubleValue();
+  private static WireException malformed() {
+    return new WireException("j", "is not a list of starts");
+  }
+
+  private static void decodeJob(List<?> job, List<Start> starts) throws WireException {
+    String id = text(job.get(0));
+    String team = text(job.get(1));
+    double cpus = number(job.get(2)).doubleValue();
+    double cards = number(job.get(3)).doubleValue();
+    double memGb = number(job.get(4)).doubleValue();
     for (int i = JobConstants.START_RECORD_HEAD_VALUES;
         i + JobConstants.VALUES_PER_START <= job.size();
         i += JobConstants.VALUES_PER_START) {
-      TaskRef task = new TaskRef(id, ((Long) job.get(i)).intValue());
-      long attempt = (Long) job.get(i + 1);
-      String machine = (String) job.get(i + 2);
-      long session = (Long) job.get(i + 3);
+      TaskRef task = new TaskRef(id, (int) integer(job.get(i)));
+      long attempt = integer(job.get(i + 1));
+      String machine = text(job.get(i + 2));
+      long session = integer(job.get(i + 3));
       starts.add(new Start(task, attempt, machine, session, team, cpus, cards, memGb));
     }
   }
+
+  private static String text(Object value) throws WireException {
+    if (value instanceof String text) {
+      return text;
+    }
+    throw malformed();
+  }
+
+  private static Number number(Object value) throws WireException {
+    if (value instanceof Number number) {
+      return number;
+    }
+    throw malformed();
+  }
+
+  private static long integer(Object value) throws WireException {
+    if (value instanceof Long integer) {
+      return integer;
+    }
+    throw malformed();
+  }
 }
--- a/src/test/java/fennelthread/jobs/RecordsTest.java
+++ b/src/test/java/fennelthread/jobs/RecordsTest.java
@@ -16,6 +16,7 @@
 import fennelthread.wire.WireException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.BitSet;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -108,6 +109,29 @@
     assertEquals(finished, covered);
   }
 
+  /** A null or a value of another type in a start record makes it unreadable, and nothing else. */
+  @Test
+  void aStartRecordWithAMalformedValueIsUnreadable() throws WireException {
+    List<Object> header = List.of("job-1", "roja", 1.5, 0.0, 2.0);
+    List<Object> start = List.of(0L, 9L, "n-1", 2L);
+    List<Object> values = new ArrayList<>(header);
+    values.addAll(start);
+    assertEquals(1, StartRecord.decode(startRecordOf(values)).starts().size());
+    for (int i = 0; i < values.size(); i++) {
+      for (Object malformed : Arrays.asList(null, List.of())) {
+        List<Object> changed = new ArrayList<>(values);
+        changed.set(i, malformed);
+        assertThrows(WireException.class, () -> StartRecord.decode(startRecordOf(changed)), "" + i);
+      }
+    }
+    assertThrows(
+        WireException.class, () -> StartRecord.decode(startRecordOf(header.subList(0, 4))));
+  }
+
+  private static Fields startRecordOf(List<Object> values) {
+    return Fields.create().with("j", List.of(values));
+  }
+
   @Test
   void aStartRecordKeepsItsStoredForm() throws WireException {
     StartRecord record =
