--- a/review/standins-2/Case4.java
+++ b/review/standins-2/Case4.java
@@ -1,6 +1,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /** One controller loses only the state service while others accept jobs; later the leader stands still for seconds. */
@@ -26,6 +27,11 @@
     List<String> needed = ids("job-20261205031600000000", NEEDED);
     int accepted = submitAll(stage, needed, List.of(long1), served, 20_000);
     stage.note("accepted " + accepted + " jobs that wait for one");
+    // As in a service that has run for a while: the leader relies on its siblings' promises by now.
+    for (long until = Stage.nowMs() + 6_000; Stage.nowMs() < until && leadsAlone(stage); ) {
+      Stage.sleep(20);
+    }
+    Stage.sleep(300);
     long writtenBefore = stage.state.writtenBytes();
     long cutAtMs = Stage.nowMs();
     if (stage.trouble) {
@@ -92,6 +98,12 @@
             + stage.state.leader());
   }
 
+  /** True while the leader's word that it goes without promises (docs/election.md) is stored. */
+  private static boolean leadsAlone(Stage stage) {
+    Object word = stage.state.value("live/solo");
+    return !(word instanceof Map<?, ?> map) || !Long.valueOf(0).equals(map.get("epoch"));
+  }
+
   private static List<String> ids(String prefix, int count) {
     List<String> ids = new ArrayList<>();
     for (int i = 0; i < count; i++) {
